Add the workspace, the design page and the shared contracts

Cause: the repository was empty. The packages, the errors catalogue, the configuration schemas, the peer messages and the JSON-RPC connection are the contracts that the processes share. Conclusion: entry, pool, control, stand-ins and load can be built side by side.

--- /dev/null
+++ b/packages/coordination/src/common/database-group.ts
@@ -0,0 +1,27 @@
+import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
+import type { Position } from '@tanagerusher/state/position/position'
+
+export interface RaiseTermAnswer {
+  granted: boolean
+  promisedTerm: number
+  log: Position
+}
+
+/**
+ * Control functions of the databases of one group, as the platform gives them. Every call may fail, may be late, and may
+ * have taken effect although its answer was lost; all are idempotent for one term.
+ */
+export interface DatabaseGroup {
+  /** Reads the status of a member. */
+  readStatus(database: string): Promise<DatabaseStatus>
+  /** Answers when the member's log or promised term differs from `known`, at the latest after `timeoutMs`. */
+  waitForChange(database: string, known: Position, timeoutMs: number): Promise<DatabaseStatus>
+  /** Makes the member refuse everything of lower terms. Granted only when `term` is higher than any promised before. */
+  raiseTerm(database: string, term: number): Promise<RaiseTermAnswer>
+  /** Makes the member the primary of `term`. Refused unless it has promised exactly this term. */
+  promote(database: string, term: number): Promise<boolean>
+  /** Makes the member follow `primary` in `term`; it truncates what that primary's log does not hold. */
+  follow(database: string, term: number, primary: string): Promise<boolean>
+  /** Start position of each term in the member's log. */
+  readTermHistory(database: string): Promise<Array<{ term: number, start: number }>>
+}
--- /dev/null
+++ b/packages/protocol/src/peer/group-status.ts
@@ -0,0 +1,4 @@
+import { groupStatusSchema } from '@tanagerusher/state/group/group-status'
+
+/** Notification from a pool to the entries that watch the group. */
+export const groupStatusNotification = { method: 'group.status', params: groupStatusSchema } as const
--- /dev/null
+++ b/packages/protocol/src/peer/watch-groups.ts
@@ -0,0 +1,11 @@
+import { groupStatusSchema } from '@tanagerusher/state/group/group-status'
+import { z } from 'zod'
+
+/** Replaces the set of groups whose `group.status` the entry wants on this connection. */
+export const watchGroups = {
+  method: 'watch-groups',
+  params: z.looseObject({ groups: z.array(z.string()) }),
+  result: z.looseObject({ statuses: z.array(groupStatusSchema) })
+} as const
+
+export type WatchGroupsParams = z.infer<typeof watchGroups.params>
--- /dev/null
+++ b/packages/runtime/src/log/create-logger.ts
@@ -0,0 +1,19 @@
+import winston from 'winston'
+
+interface CreateLoggerOptions {
+  /** Name of the program or task. */
+  label: string
+  level?: string
+  /** Fields of every line: host, data centre. */
+  fields?: Record<string, string>
+}
+
+/** Logger that writes JSON lines to standard error. Never pass a caller's key to it. */
+export function createLogger ({ label, level = 'info', fields = {} }: CreateLoggerOptions): winston.Logger {
+  return winston.createLogger({
+    level,
+    defaultMeta: { label, ...fields },
+    format: winston.format.combine(winston.format.timestamp(), winston.format.errors({ stack: true }), winston.format.json()),
+    transports: [new winston.transports.Console({ stderrLevels: ['error', 'warn', 'info', 'http', 'verbose', 'debug', 'silly'] })]
+  })
+}
--- /dev/null
+++ b/packages/runtime/src/process/run-program.ts
@@ -0,0 +1,67 @@
+import { readFileSync } from 'node:fs'
+import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import { Command } from 'commander'
+import type { z } from 'zod'
+import { parseSettings } from '../settings/parse-settings.js'
+import { exitCodes } from './exit-codes.js'
+
+/** Something that runs until it is closed. `close` is a graceful shutdown. */
+interface Service {
+  close(): Promise<void>
+}
+
+interface RunProgramOptions<Schema extends z.ZodType> {
+  name: string
+  description: string
+  schema: Schema
+  start: (settings: z.infer<Schema>) => Promise<Service>
+}
+
+const VERSION = '0.1.0'
+
+/**
+ * Command line of a server program: `--config FILE`, `--check-config`, `--help`, `--version`. The first SIGTERM or
+ * SIGINT starts the graceful shutdown; a second one ends the process at once.
+ */
+export async function runProgram<Schema extends z.ZodType> (options: RunProgramOptions<Schema>): Promise<void> {
+  const command = new Command(options.name)
+    .description(options.description)
+    .version(VERSION)
+    .requiredOption('--config <file>', 'settings file (JSON)')
+    .option('--check-config', 'check the settings and exit', false)
+    .exitOverride((error) => process.exit(error.exitCode === 0 ? exitCodes.success : exitCodes.usage))
+  const flags = command.parse().opts<{ config: string, checkConfig: boolean }>()
+  const settings = loadSettings(options.schema, flags.config)
+  if (flags.checkConfig) {
+    console.log('settings are valid')
+    return
+  }
+  const service = await options.start(settings)
+  stopOnSignal(service)
+}
+
+function loadSettings<Schema extends z.ZodType> (schema: Schema, file: string): z.infer<Schema> {
+  try {
+    const parsed = parseSettings(schema, readFileSync(file, 'utf8'))
+    if (parsed.isOk()) return parsed.value
+    exitWithSettingsError(parsed.error)
+  } catch (cause) {
+    exitWithSettingsError(TanagerusherError.create('settings-invalid', { details: { path: file, found: String(cause) }, cause }))
+  }
+}
+
+function exitWithSettingsError (error: TanagerusherError): never {
+  console.error(`${error.message} ${error.hint}`)
+  process.exit(exitCodes.settingsInvalid)
+}
+
+function stopOnSignal (service: Service): void {
+  let stopping = false
+  const handleSignal = (): void => {
+    if (stopping) process.exit(exitCodes.interrupted)
+    stopping = true
+    service.close().then(() => process.exit(exitCodes.success), () => process.exit(exitCodes.failure))
+  }
+  process.on('SIGTERM', handleSignal)
+  process.on('SIGINT', handleSignal)
+}
--- /dev/null
+++ b/packages/transport/src/peer/frame-codec.ts
@@ -0,0 +1,53 @@
+import { Packr } from 'msgpackr'
+
+const LENGTH_BYTES = 4
+const MAX_FRAME_BYTES = 16 * 1024 * 1024
+
+/** Splits a byte stream into length-prefixed msgpackr values and encodes values the same way. */
+export class FrameCodec {
+  readonly #packr = new Packr({ useRecords: false, moreTypes: false })
+  #chunks: Buffer[] = []
+  #buffered = 0
+
+  static create (): FrameCodec {
+    return new FrameCodec()
+  }
+
+  encode (value: unknown): Buffer {
+    const body = this.#packr.pack(value)
+    const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length)
+    frame.writeUInt32BE(body.length, 0)
+    body.copy(frame, LENGTH_BYTES)
+    return frame
+  }
+
+  /**
+   * Takes bytes and returns the values that are now complete.
+   * @throws RangeError when a frame is longer than the limit; the connection must then be closed.
+   */
+  decode (bytes: Buffer): unknown[] {
+    this.#chunks.push(bytes)
+    this.#buffered += bytes.length
+    const values: unknown[] = []
+    for (let body = this.#takeFrame(); body !== undefined; body = this.#takeFrame()) values.push(this.#packr.unpack(body))
+    return values
+  }
+
+  #takeFrame (): Buffer | undefined {
+    if (this.#buffered < LENGTH_BYTES) return undefined
+    const head = this.#chunks[0] as Buffer
+    const length = head.length >= LENGTH_BYTES ? head.readUInt32BE(0) : this.#mergeChunks().readUInt32BE(0)
+    if (length > MAX_FRAME_BYTES) throw new RangeError(`frame of ${length} bytes is over the limit of ${MAX_FRAME_BYTES}`)
+    if (this.#buffered < LENGTH_BYTES + length) return undefined
+    const all = this.#mergeChunks()
+    const end = LENGTH_BYTES + length
+    this.#chunks = all.length > end ? [all.subarray(end)] : []
+    this.#buffered = all.length - end
+    return all.subarray(LENGTH_BYTES, end)
+  }
+
+  #mergeChunks (): Buffer {
+    if (this.#chunks.length > 1) this.#chunks = [Buffer.concat(this.#chunks, this.#buffered)]
+    return this.#chunks[0] as Buffer
+  }
+}
--- /dev/null
+++ b/packages/transport/src/peer/peer-connection.ts
@@ -0,0 +1,185 @@
+import type { Socket } from 'node:net'
+import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import { peerErrorDataSchema } from '@tanagerusher/protocol/peer/peer-error-data'
+import { peerHello, type PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
+import { JSONRPCClient, JSONRPCErrorException, JSONRPCServer, JSONRPCServerAndClient } from 'json-rpc-2.0'
+import type { z } from 'zod'
+import { FrameCodec } from './frame-codec.js'
+
+const PROTOCOL_VERSION = 1
+const ERROR_CODE = -32000
+const SEND_BUFFER_LIMIT_BYTES = 8 * 1024 * 1024
+
+interface MethodDefinition<Params extends z.ZodType, Result extends z.ZodType> {
+  readonly method: string
+  readonly params: Params
+  readonly result: Result
+}
+
+interface NotificationDefinition<Params extends z.ZodType> {
+  readonly method: string
+  readonly params: Params
+}
+
+interface CreateOptions {
+  socket: Socket
+  hello: PeerHello
+}
+
+/**
+ * One JSON-RPC 2.0 connection between two processes; both sides may call. It owns the socket. Requests in flight
+ * when the connection ends are rejected with `peer-failed`.
+ */
+export class PeerConnection {
+  readonly closed: Promise<void>
+  /** What the peer said of itself; rejects when the connection ends before. */
+  readonly remoteHello: Promise<PeerHello>
+  readonly #socket: Socket
+  readonly #codec = FrameCodec.create()
+  readonly #rpc: JSONRPCServerAndClient
+  #resolveHello!: (hello: PeerHello) => void
+  #rejectHello!: (error: unknown) => void
+  #writes: Buffer[] = []
+  #bytesSent = 0
+  #bytesReceived = 0
+
+  private constructor (socket: Socket) {
+    this.#socket = socket
+    this.#rpc = new JSONRPCServerAndClient(
+      new JSONRPCServer({ errorListener: () => {} }),
+      new JSONRPCClient((request) => { this.#send(request) })
+    )
+    this.remoteHello = new Promise((resolve, reject) => {
+      this.#resolveHello = resolve
+      this.#rejectHello = reject
+    })
+    this.remoteHello.catch(() => {})
+    this.closed = new Promise((resolve) => { socket.once('close', () => { resolve() }) })
+  }
+
+  static create ({ socket, hello }: CreateOptions): PeerConnection {
+    const connection = new PeerConnection(socket)
+    connection.#start(hello)
+    return connection
+  }
+
+  get bytesSent (): number { return this.#bytesSent }
+  get bytesReceived (): number { return this.#bytesReceived }
+  get isOpen (): boolean { return !this.#socket.destroyed }
+
+  /** Calls a method of the peer. `timeoutMs` ends the wait; a late answer is dropped. */
+  async request<Params extends z.ZodType, Result extends z.ZodType> (
+    definition: MethodDefinition<Params, Result>, params: z.input<Params>, timeoutMs: number
+  ): Promise<z.infer<Result>> {
+    if (this.#socket.destroyed) throw TanagerusherError.create('peer-failed', { details: { peer: this.#describe(), reason: 'connection closed' } })
+    try {
+      return await this.#rpc.timeout(timeoutMs).request(definition.method, params) as z.infer<Result>
+    } catch (error) {
+      throw createErrorFromPeer(error, this.#describe())
+    }
+  }
+
+  notify<Params extends z.ZodType> (definition: NotificationDefinition<Params>, params: z.input<Params>): void {
+    if (!this.#socket.destroyed) this.#rpc.notify(definition.method, params)
+  }
+
+  /** Answers calls of a method. Parameters are checked against the schema first. */
+  addMethod<Params extends z.ZodType, Result extends z.ZodType> (
+    definition: MethodDefinition<Params, Result>, handle: (params: z.infer<Params>) => Promise<z.input<Result>>
+  ): void {
+    this.#rpc.addMethod(definition.method, async (params: unknown) => {
+      try {
+        return await handle(parseParams(definition, params))
+      } catch (error) {
+        throw createPeerException(error)
+      }
+    })
+  }
+
+  addNotification<Params extends z.ZodType> (definition: NotificationDefinition<Params>, handle: (params: z.infer<Params>) => void): void {
+    this.#rpc.addMethod(definition.method, (params: unknown) => { handle(parseParams(definition, params)) })
+  }
+
+  close (): void {
+    this.#socket.end()
+  }
+
+  destroy (): void {
+    this.#socket.destroy()
+  }
+
+  #start (hello: PeerHello): void {
+    this.#socket.setNoDelay(true)
+    this.#socket.on('data', (bytes: Buffer) => { this.#receive(bytes) })
+    this.#socket.on('error', () => { this.#socket.destroy() })
+    this.#socket.once('close', () => { this.#handleClose() })
+    this.addNotification(peerHello, (remote) => { this.#handleHello(remote) })
+    this.notify(peerHello, hello)
+  }
+
+  #handleHello (remote: PeerHello): void {
+    if (remote.protocolVersions.includes(PROTOCOL_VERSION)) this.#resolveHello(remote)
+    else this.#socket.destroy()
+  }
+
+  #handleClose (): void {
+    const error = TanagerusherError.create('peer-failed', { details: { peer: this.#describe(), reason: 'connection closed' } })
+    this.#rejectHello(error)
+    this.#rpc.rejectAllPendingRequests('connection closed')
+  }
+
+  #receive (bytes: Buffer): void {
+    this.#bytesReceived += bytes.length
+    try {
+      for (const message of this.#codec.decode(bytes)) this.#dispatch(message)
+    } catch {
+      this.#socket.destroy()
+    }
+  }
+
+  #dispatch (message: unknown): void {
+    this.#rpc.receiveAndSend(message).catch(() => { this.#socket.destroy() })
+  }
+
+  /** Messages of one event-loop turn leave in one write. */
+  #send (message: unknown): void {
+    const frame = this.#codec.encode(message)
+    this.#bytesSent += frame.length
+    this.#writes.push(frame)
+    if (this.#writes.length === 1) setImmediate(() => { this.#flush() })
+  }
+
+  #flush (): void {
+    const writes = this.#writes
+    this.#writes = []
+    if (this.#socket.destroyed || writes.length === 0) return
+    if (this.#socket.writableLength > SEND_BUFFER_LIMIT_BYTES) {
+      this.#socket.destroy()
+      return
+    }
+    this.#socket.write(writes.length === 1 ? writes[0] as Buffer : Buffer.concat(writes))
+  }
+
+  #describe (): string {
+    return `${this.#socket.remoteAddress ?? 'unknown'}:${this.#socket.remotePort ?? 0}`
+  }
+}
+
+function parseParams<Params extends z.ZodType> (definition: NotificationDefinition<Params>, params: unknown): z.infer<Params> {
+  const parsed = definition.params.safeParse(params)
+  if (parsed.success) return parsed.data
+  throw TanagerusherError.create('protocol-violation', { details: { reason: `${definition.method}: ${parsed.error.issues[0]?.message ?? 'invalid'}` } })
+}
+
+function createPeerException (error: unknown): JSONRPCErrorException {
+  const known = error instanceof TanagerusherError
+    ? error
+    : TanagerusherError.create('internal', { details: { reason: String(error) } })
+  return new JSONRPCErrorException(known.message, ERROR_CODE, { kind: known.kind, details: known.details })
+}
+
+function createErrorFromPeer (error: unknown, peer: string): TanagerusherError {
+  const data = peerErrorDataSchema.safeParse((error as { data?: unknown }).data)
+  if (data.success) return TanagerusherError.create(data.data.kind, { details: data.data.details })
+  return TanagerusherError.create('peer-failed', { details: { peer, reason: String((error as Error).message ?? error) }, cause: error })
+}
--- /dev/null
+++ b/packages/transport/test/peer-connection.test.ts
@@ -0,0 +1,32 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
+import { probeFloor } from '@tanagerusher/protocol/peer/probe-floor'
+import { openPeerConnection } from '../src/peer/open-peer-connection.js'
+import { PeerServer } from '../src/peer/peer-server.js'
+
+const hello: PeerHello = { host: 'h1', incarnation: 'i1', dataCentre: 'd1', region: 'r1', role: 'pool', protocolVersions: [1] }
+
+describe('PeerConnection', () => {
+  it('answers a call, passes a typed error on, and rejects what is in flight when the peer goes away', async () => {
+    const server = await PeerServer.open({
+      address: '127.0.0.1',
+      port: 0,
+      hello,
+      handleConnection: (connection) => {
+        connection.addMethod(probeFloor, async ({ group }) => {
+          if (group === 'bad') throw TanagerusherError.create('unavailable', { details: { group, reason: 'no quorum' } })
+          if (group === 'hang') { connection.destroy(); await new Promise(() => {}) }
+          return { position: { term: 3, position: 7 } }
+        })
+      }
+    })
+    const client = await openPeerConnection({ host: '127.0.0.1', port: server.port, hello: { ...hello, role: 'entry' } })
+    assert.equal((await client.remoteHello).host, 'h1')
+    assert.deepEqual(await client.request(probeFloor, { group: 'g', deadlineMs: 100 }, 1000), { position: { term: 3, position: 7 } })
+    await assert.rejects(client.request(probeFloor, { group: 'bad', deadlineMs: 100 }, 1000), { kind: 'unavailable' })
+    await assert.rejects(client.request(probeFloor, { group: 'hang', deadlineMs: 100 }, 5000), { kind: 'peer-failed' })
+    await server.close()
+  })
+})
