Add the failover decision modules

Cause: the pool needs majority acknowledgement, detection of a failed primary and promotion as pure modules.

--- /dev/null
+++ b/packages/coordination/src/failover/group-monitor.ts
@@ -0,0 +1,180 @@
+import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
+import type { DecisionModule } from '../common/decision-module.js'
+
+export type MonitorEvent =
+  | { type: 'status', status: DatabaseStatus }
+  /** The database's port refused a connection: its process is gone. */
+  | { type: 'refused', database: string }
+  | { type: 'members', members: readonly string[] }
+  /** Position of this host in the order of the candidates that may promote. */
+  | { type: 'rank', rank: number }
+  | { type: 'promotion-ended', succeeded: boolean, retryAfterMs: number }
+  | { type: 'tick' }
+
+export type MonitorEffect =
+  | { type: 'start-promotion', reason: string }
+  /** The member does not follow the primary of the highest term. */
+  | { type: 'follow', database: string, term: number, primary: string }
+
+interface Member {
+  status: DatabaseStatus | undefined
+  heardAt: number
+  refusedAt: number | undefined
+  repairAt: number | undefined
+}
+
+interface CreateOptions {
+  members: readonly string[]
+  rank: number
+  now: number
+  suspectAfterMs?: number
+  rankDelayMs?: number
+}
+
+/** Bound of the design page: three missed heartbeats of 200 ms. */
+const SUSPECT_AFTER_MS = 600
+/** Longer than one promotion attempt takes, so that candidates do not raise the term against each other. */
+const RANK_DELAY_MS = 250
+/** A follow call that a running promotion is about to make needs no second sender. */
+const REPAIR_DELAY_MS = 500
+
+/**
+ * Detects that a group has lost its primary. Silence alone is not enough, because a slow database is silent too: another
+ * member must report that replication has stopped as well, or the port must refuse connections.
+ */
+export class GroupMonitor implements DecisionModule<MonitorEvent, MonitorEffect> {
+  readonly #members = new Map<string, Member>()
+  readonly #suspectAfterMs: number
+  readonly #rankDelayMs: number
+  #rank: number
+  #suspectedAt: number | undefined
+  #promoting = false
+  #notBefore = 0
+
+  private constructor ({ members, rank, now, suspectAfterMs = SUSPECT_AFTER_MS, rankDelayMs = RANK_DELAY_MS }: CreateOptions) {
+    this.#rank = rank
+    this.#suspectAfterMs = suspectAfterMs
+    this.#rankDelayMs = rankDelayMs
+    this.#replaceMembers(members, now)
+  }
+
+  static create (options: CreateOptions): GroupMonitor {
+    return new GroupMonitor(options)
+  }
+
+  handle (event: MonitorEvent, now: number): MonitorEffect[] {
+    switch (event.type) {
+      case 'status': this.#applyStatus(event.status, now); break
+      case 'refused': this.#applyRefused(event.database, now); break
+      case 'members': this.#replaceMembers(event.members, now); break
+      case 'rank': this.#rank = event.rank; break
+      case 'promotion-ended': this.#endPromotion(event.retryAfterMs, now); break
+      case 'tick': break
+    }
+    return [...this.#decidePromotion(now), ...this.#decideRepairs(now)]
+  }
+
+  findNextDeadline (): number | undefined {
+    if (this.#suspectedAt === undefined || this.#promoting) return undefined
+    return Math.max(this.#suspectedAt + this.#rank * this.#rankDelayMs, this.#notBefore)
+  }
+
+  /** Highest term that any member has promised or written. */
+  get highestTerm (): number {
+    return Math.max(0, ...this.#listStatuses().map(({ promisedTerm, log }) => Math.max(promisedTerm, log.term)))
+  }
+
+  /** Primary of the highest term that was written, fenced or not. */
+  findPrimary (): DatabaseStatus | undefined {
+    return this.#listStatuses()
+      .filter(({ role }) => role === 'primary')
+      .sort((left, right) => right.log.term - left.log.term)[0]
+  }
+
+  #listStatuses (): DatabaseStatus[] {
+    return [...this.#members.values()].flatMap(({ status }) => status ?? [])
+  }
+
+  #applyStatus (status: DatabaseStatus, now: number): void {
+    const member = this.#members.get(status.database)
+    if (member === undefined) return
+    Object.assign(member, { status, heardAt: now, refusedAt: undefined })
+  }
+
+  #applyRefused (database: string, now: number): void {
+    const member = this.#members.get(database)
+    if (member !== undefined) member.refusedAt ??= now
+  }
+
+  #replaceMembers (members: readonly string[], now: number): void {
+    for (const database of this.#members.keys()) if (!members.includes(database)) this.#members.delete(database)
+    for (const database of members) {
+      if (!this.#members.has(database)) this.#members.set(database, { status: undefined, heardAt: now, refusedAt: undefined, repairAt: undefined })
+    }
+  }
+
+  #endPromotion (retryAfterMs: number, now: number): void {
+    this.#promoting = false
+    this.#suspectedAt = undefined
+    this.#notBefore = now + retryAfterMs
+  }
+
+  #decidePromotion (now: number): MonitorEffect[] {
+    const reason = this.#findSuspicion(now)
+    if (reason === undefined) {
+      this.#suspectedAt = undefined
+      return []
+    }
+    this.#suspectedAt ??= now
+    if (this.#promoting || now < (this.findNextDeadline() ?? now)) return []
+    this.#promoting = true
+    return [{ type: 'start-promotion', reason }]
+  }
+
+  #findSuspicion (now: number): string | undefined {
+    const primary = this.findPrimary()
+    const statuses = this.#listStatuses()
+    if (statuses.length === 0) return undefined
+    if (primary === undefined) return this.#isMajorityFresh(now) ? 'no member is primary' : undefined
+    const fresh = this.#listFresh(now).filter(({ database }) => database !== primary.database)
+    const isFenced = fresh.some(({ promisedTerm }) => promisedTerm > primary.log.term) || primary.promisedTerm > primary.log.term
+    if (isFenced) return 'the primary was fenced and no other was promoted'
+    const member = this.#members.get(primary.database) as Member
+    if (member.refusedAt !== undefined && fresh.length > 0) return 'the primary refuses connections'
+    if (now - member.heardAt < this.#suspectAfterMs) return undefined
+    const confirming = fresh.some(({ linkSilentMs }) => linkSilentMs >= this.#suspectAfterMs)
+    return confirming ? 'the primary is silent here and at a replica' : undefined
+  }
+
+  #isMajorityFresh (now: number): boolean {
+    return this.#listFresh(now).length * 2 > this.#members.size
+  }
+
+  #listFresh (now: number): DatabaseStatus[] {
+    return [...this.#members.values()]
+      .filter(({ heardAt }) => now - heardAt < this.#suspectAfterMs)
+      .flatMap(({ status }) => status ?? [])
+  }
+
+  #decideRepairs (now: number): MonitorEffect[] {
+    const primary = this.findPrimary()
+    if (primary === undefined || this.#promoting || primary.promisedTerm !== primary.log.term) return []
+    const effects: MonitorEffect[] = []
+    for (const [database, member] of this.#members) {
+      if (!needsRepair(member.status, primary)) {
+        member.repairAt = undefined
+        continue
+      }
+      member.repairAt ??= now + REPAIR_DELAY_MS + this.#rank * this.#rankDelayMs
+      if (now < member.repairAt) continue
+      member.repairAt = now + REPAIR_DELAY_MS * 2
+      effects.push({ type: 'follow', database, term: primary.log.term, primary: primary.database })
+    }
+    return effects
+  }
+}
+
+function needsRepair (status: DatabaseStatus | undefined, primary: DatabaseStatus): boolean {
+  if (status === undefined || status.database === primary.database || status.promisedTerm > primary.log.term) return false
+  return status.role === 'primary' || status.primary !== primary.database
+}
