--- /dev/null
+++ b/packages/coordination/src/fairness/slot-scheduler.ts
@@ -0,0 +1,90 @@
+import { FairQueue, type EnqueueResult, type QueuedRequest } from './fair-queue.js'
+
+interface CreateOptions {
+  slots: number
+}
+
+interface Holder {
+  organisation: string
+  startedAt: number
+}
+
+/** Statements above this mean slot time count as long; shorter ones free a slot soon enough for everyone. */
+const LONG_STATEMENT_MS = 50
+/** An organisation that sent a request this recently is expected to send another. */
+const ACTIVE_WINDOW_MS = 2000
+
+/**
+ * Gives the slots of one database to waiting requests. A transaction holds its slot until it ends. Running statements
+ * cannot be interrupted, so an organisation with long statements leaves one slot to the others while others are active.
+ */
+export class SlotScheduler {
+  readonly #slots: number
+  readonly #queue: FairQueue
+  readonly #holders = new Map<string, Holder>()
+  readonly #activeAt = new Map<string, number>()
+  #paused = false
+
+  private constructor (slots: number) {
+    this.#slots = slots
+    this.#queue = FairQueue.create({ slots })
+  }
+
+  static create ({ slots }: CreateOptions): SlotScheduler {
+    return new SlotScheduler(slots)
+  }
+
+  get running (): number { return this.#holders.size }
+  get waiting (): number { return this.#queue.size }
+
+  enqueue (request: QueuedRequest, now: number): EnqueueResult {
+    this.#activeAt.set(request.organisation, now)
+    return this.#queue.enqueue(request, now)
+  }
+
+  /** Takes the next request that may run now; it holds a slot until `finish`. */
+  start (now: number): QueuedRequest | undefined {
+    if (this.#paused || this.#holders.size >= this.#slots || this.#queue.size === 0) return undefined
+    const request = this.#queue.take((organisation, meanCostMs) => this.#isEligible(organisation, meanCostMs, now))
+    if (request !== undefined) this.#holders.set(request.id, { organisation: request.organisation, startedAt: now })
+    return request
+  }
+
+  finish (id: string, now: number): void {
+    const holder = this.#holders.get(id)
+    if (holder === undefined) return
+    this.#holders.delete(id)
+    this.#queue.finish(id, holder.organisation, now - holder.startedAt)
+  }
+
+  remove (id: string): boolean {
+    return this.#queue.remove(id)
+  }
+
+  expire (now: number): QueuedRequest[] {
+    return this.#queue.expire(now)
+  }
+
+  findNextDeadline (): number | undefined {
+    return this.#queue.findNextDeadline()
+  }
+
+  /** Stops giving out slots, for a planned change of primary; requests go on waiting until their deadline. */
+  pause (): void { this.#paused = true }
+  resume (): void { this.#paused = false }
+
+  #isEligible (organisation: string, meanCostMs: number, now: number): boolean {
+    if (meanCostMs < LONG_STATEMENT_MS || this.#slots === 1 || !this.#isOtherActive(organisation, now)) return true
+    let held = 0
+    for (const holder of this.#holders.values()) if (holder.organisation === organisation) held++
+    return held < this.#slots - 1
+  }
+
+  #isOtherActive (organisation: string, now: number): boolean {
+    for (const [other, activeAt] of this.#activeAt) {
+      if (now - activeAt > ACTIVE_WINDOW_MS) this.#activeAt.delete(other)
+      else if (other !== organisation) return true
+    }
+    return false
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/outcome/idempotency.ts
@@ -0,0 +1,86 @@
+import { createHash } from 'node:crypto'
+
+/** Row of `tanagerusher_request`, written in the transaction of the work that it records. */
+export interface IdempotencyRecord {
+  digest: string
+  /** Backend messages of the first answer; null for an explicit transaction, whose answers are not kept. */
+  response: Uint8Array | null
+}
+
+export type IdempotencyDecision =
+  | { type: 'run' }
+  /** The work has committed; give its first answer again. */
+  | { type: 'answer', response: Uint8Array }
+  /** The explicit transaction has committed. */
+  | { type: 'already-run' }
+  /** The key was used for other work. */
+  | { type: 'conflict' }
+
+interface DecideOptions {
+  record: IdempotencyRecord | undefined
+  digest: string
+  isTransaction: boolean
+}
+
+interface DigestOptions {
+  organisation: string
+  entryName: string
+  isTransaction: boolean
+  frames: Uint8Array
+  /** Parse messages of the named statements that `frames` use. */
+  statements: ReadonlyArray<{ parse: Uint8Array }>
+}
+
+/** Answers above this size are not recorded: the row must stay small beside the work itself. */
+const MAX_RESPONSE_BYTES = 64 * 1024
+
+/** Decides about a piece of work with an idempotency key from the record that was found under that key. */
+export class Idempotency {
+  static readonly maximumResponseBytes = MAX_RESPONSE_BYTES
+
+  static create (): Idempotency {
+    return new Idempotency()
+  }
+
+  /**
+   * Digest that tells whether two requests are the same work: statement texts and parameters. An explicit transaction is
+   * recognised by its key alone, because its statements are not known when it begins. Comments with session token and
+   * trace context vary between repeats, and so do the names that drivers give to statements; neither belongs to the work.
+   */
+  computeDigest ({ organisation, entryName, isTransaction, frames, statements }: DigestOptions): string {
+    const hash = createHash('sha256').update(`${organisation}\0${entryName}\0${isTransaction ? 'transaction' : 'statement'}\0`)
+    if (!isTransaction) for (const bytes of [...statements.map(({ parse }) => parse), frames]) hash.update(extractWork(bytes))
+    return hash.digest('hex')
+  }
+
+  decide ({ record, digest, isTransaction }: DecideOptions): IdempotencyDecision {
+    if (record === undefined) return { type: 'run' }
+    if (record.digest !== digest) return { type: 'conflict' }
+    if (isTransaction || record.response === null) return { type: 'already-run' }
+    return { type: 'answer', response: record.response }
+  }
+}
+
+/** Texts and parameters of frontend messages, without comments and without names of statements and portals. */
+function extractWork (bytes: Uint8Array): string {
+  const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
+  const parts: string[] = []
+  for (let offset = 0; offset + 5 <= buffer.length; offset += 1 + Math.max(4, buffer.readUInt32BE(offset + 1))) {
+    const type = String.fromCharCode(buffer[offset] as number)
+    const body = buffer.toString('latin1', offset + 5, offset + 1 + buffer.readUInt32BE(offset + 1))
+    if (type === 'Q') parts.push(removeComments(body))
+    else if (type === 'P') parts.push(removeComments(skipNames(body, 1)))
+    else if (type === 'B') parts.push(skipNames(body, 2))
+  }
+  return parts.join('\u0001')
+}
+
+function skipNames (body: string, names: number): string {
+  let start = 0
+  for (let name = 0; name < names; name++) start = body.indexOf('\0', start) + 1
+  return body.slice(start)
+}
+
+function removeComments (text: string): string {
+  return text.replace(/\/\*[^]*?\*\//g, '').replace(/\s+(?=\0)/g, '')
+}
--- /dev/null
+++ b/packages/pool/src/group/group-task.ts
@@ -0,0 +1,268 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import { DataAgeTracker } from '@tanagerusher/coordination/failover/data-age-tracker'
+import { findQuorumSize } from '@tanagerusher/coordination/failover/find-quorum-size'
+import { GroupMonitor, type MonitorEvent } from '@tanagerusher/coordination/failover/group-monitor'
+import { isFloorSatisfied } from '@tanagerusher/coordination/session/is-floor-satisfied'
+import type { Group } from '@tanagerusher/state/configuration/group'
+import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
+import type { GroupStatus } from '@tanagerusher/state/group/group-status'
+import type { Position } from '@tanagerusher/state/position/position'
+import type { Logger } from 'winston'
+import type { SqlDatabaseGroup } from '../upstream/sql-database-group.js'
+import { CommitWaiters } from './commit-waiters.js'
+import { MemberWatch } from './member-watch.js'
+import { ProbeRunner } from './probe-runner.js'
+import { PromotionRunner } from './promotion-runner.js'
+
+export interface GroupTaskOptions {
+  name: string
+  group: Group
+  databases: SqlDatabaseGroup
+  clock: Clock
+  logger: Logger
+  seed: number
+  suspectAfterMs: number
+  rankDelayMs: number
+  /** Requests that run or wait at this pool for a database; 0 for databases that other pools own. */
+  readLoad: (database: string) => number
+  /** The group's state changed; notifications are sent at most every few milliseconds. */
+  handleChange: (task: GroupTask) => void
+}
+
+interface PositionWaiter {
+  database: string
+  floor: Position
+  resolve: (reached: boolean) => void
+  deadline: number
+}
+
+const TICK_MS = 25
+
+/**
+ * Watches all members of one group, confirms positions, and promotes when the primary is lost. It owns the control
+ * connections to the members.
+ */
+export class GroupTask {
+  readonly name: string
+  readonly commits: CommitWaiters
+  readonly #options: GroupTaskOptions
+  readonly #monitor: GroupMonitor
+  readonly #probes: ProbeRunner
+  readonly #watches = new Map<string, MemberWatch>()
+  readonly #dataAge = DataAgeTracker.create()
+  readonly #timer: NodeJS.Timeout
+  #group: Group
+  #promotion: PromotionRunner | undefined
+  #positionWaiters: PositionWaiter[] = []
+  /** Null: this host is no candidate, because it owns no database of the group. */
+  #rank: number | null = null
+
+  private constructor (options: GroupTaskOptions) {
+    this.#options = options
+    this.name = options.name
+    this.#group = options.group
+    const members = this.#listNames()
+    const { databases, clock } = options
+    this.commits = CommitWaiters.create({ members, databases })
+    this.#monitor = GroupMonitor.create({
+      members, rank: 0, now: clock.readTime(), suspectAfterMs: options.suspectAfterMs, rankDelayMs: options.rankDelayMs
+    })
+    this.#probes = ProbeRunner.create({
+      group: options.name, members: () => this.#listNames(), databases, clock, observe: (status) => { this.observe(status) }
+    })
+    this.#updateWatches()
+    this.#timer = setInterval(() => { this.#tick() }, TICK_MS)
+  }
+
+  static create (options: GroupTaskOptions): GroupTask {
+    return new GroupTask(options)
+  }
+
+  get group (): Group { return this.#group }
+  get isCandidate (): boolean { return this.#rank !== null }
+
+  updateGroup (group: Group): void {
+    this.#group = group
+    this.#options.databases.update(group)
+    const members = this.#listNames()
+    this.commits.handle({ type: 'members', members }, this.#now())
+    this.#probes.handle({ type: 'members', members })
+    this.#handleMonitor({ type: 'members', members })
+    this.#updateWatches()
+  }
+
+  updateRank (rank: number | null): void {
+    if (rank === this.#rank) return
+    this.#rank = rank
+    if (rank !== null) this.#handleMonitor({ type: 'rank', rank })
+  }
+
+  readStatus (database: string): DatabaseStatus | undefined {
+    return this.#watches.get(database)?.status
+  }
+
+  /** The primary that accepts work as far as is known here. */
+  findPrimary (): DatabaseStatus | undefined {
+    const primary = this.#monitor.findPrimary()
+    return primary !== undefined && primary.promisedTerm === primary.log.term ? primary : undefined
+  }
+
+  /** Whether enough members answer that a write could be acknowledged. */
+  hasQuorum (): boolean {
+    const reachable = [...this.#watches.values()].filter((watch) => watch.isReachable(this.#now(), this.#options.suspectAfterMs))
+    return reachable.length >= findQuorumSize(this.#watches.size)
+  }
+
+  async probe (deadlineMs: number): Promise<Position> {
+    const deadline = this.#now() + deadlineMs
+    const position = await this.#probes.probe(deadline)
+    await this.confirm(position, deadline)
+    return position
+  }
+
+  /** Resolves when a majority holds the position. */
+  async confirm (position: Position, deadline: number): Promise<void> {
+    const confirmed = this.commits.wait(position, deadline, this.#now())
+    if (this.commits.count > 0) for (const watch of this.#watches.values()) watch.wake()
+    await confirmed
+  }
+
+  /** Takes a status that a connection of this process has just read. */
+  observe (status: DatabaseStatus): void {
+    const watch = this.#watches.get(status.database)
+    if (watch === undefined) return
+    watch.observe(status, this.#now())
+  }
+
+  /** Resolves true when the database holds `floor`, false after `timeoutMs`. */
+  async waitForPosition (database: string, floor: Position, timeoutMs: number): Promise<boolean> {
+    const status = this.readStatus(database)
+    if (status !== undefined && isFloorSatisfied(status.log, floor)) return true
+    return await new Promise((resolve) => {
+      this.#positionWaiters.push({ database, floor, resolve, deadline: this.#now() + timeoutMs })
+      this.#watches.get(database)?.wake()
+    })
+  }
+
+  buildStatus (): GroupStatus {
+    const now = this.#now()
+    return {
+      group: this.name,
+      term: this.#monitor.highestTerm,
+      primary: this.findPrimary()?.database ?? null,
+      members: [...this.#watches.values()].flatMap((watch) => {
+        const { status, heardAt } = watch
+        if (status === undefined) return []
+        const age = status.role === 'primary' ? undefined : this.#dataAge.findAgeMs(status.log, now)
+        return {
+          database: status.database,
+          role: status.role,
+          log: status.log,
+          promisedTerm: status.promisedTerm,
+          reachable: watch.isReachable(now, this.#options.suspectAfterMs),
+          load: this.#options.readLoad(status.database),
+          observedAgeMs: now - heardAt,
+          ...(age === undefined ? {} : { dataAgeMs: age })
+        }
+      })
+    }
+  }
+
+  close (): void {
+    clearInterval(this.#timer)
+    this.#promotion?.close()
+    for (const watch of this.#watches.values()) watch.close()
+    this.#options.databases.close()
+    for (const waiter of this.#positionWaiters) waiter.resolve(false)
+    this.#positionWaiters = []
+  }
+
+  #now (): number {
+    return this.#options.clock.readTime()
+  }
+
+  #listNames (): string[] {
+    return this.#group.databases.map(({ name }) => name)
+  }
+
+  #updateWatches (): void {
+    const names = this.#listNames()
+    for (const [database, watch] of this.#watches) {
+      if (names.includes(database)) continue
+      watch.close()
+      this.#watches.delete(database)
+    }
+    for (const database of names) {
+      if (this.#watches.has(database)) continue
+      this.#watches.set(database, MemberWatch.create({
+        database,
+        databases: this.#options.databases,
+        clock: this.#options.clock,
+        needsHaste: () => this.commits.count > 0 || this.#positionWaiters.some((waiter) => waiter.database === database),
+        handleStatus: (status, askedAt) => { this.#handleStatus(status, askedAt) },
+        handleRefused: () => { this.#handleMonitor({ type: 'refused', database }) }
+      }))
+    }
+  }
+
+  #handleStatus (status: DatabaseStatus, askedAt: number): void {
+    this.commits.observe(status, this.#now())
+    if (status.role === 'primary' && status.promisedTerm === status.log.term) this.#dataAge.record(status.log, askedAt)
+    this.#resolvePositions(status)
+    this.#handleMonitor({ type: 'status', status })
+    this.#options.handleChange(this)
+  }
+
+  #resolvePositions (status: DatabaseStatus): void {
+    if (this.#positionWaiters.length === 0) return
+    const isReached = ({ database, floor }: PositionWaiter): boolean => database === status.database && isFloorSatisfied(status.log, floor)
+    const reached = this.#positionWaiters.filter(isReached)
+    if (reached.length === 0) return
+    this.#positionWaiters = this.#positionWaiters.filter((waiter) => !isReached(waiter))
+    for (const waiter of reached) waiter.resolve(true)
+  }
+
+  #handleMonitor (event: MonitorEvent): void {
+    const effects = this.#monitor.handle(event, this.#now())
+    if (this.#rank === null) {
+      if (effects.some(({ type }) => type === 'start-promotion')) this.#monitor.handle({ type: 'promotion-ended', succeeded: false, retryAfterMs: 0 }, this.#now())
+      return
+    }
+    for (const effect of effects) {
+      if (effect.type === 'start-promotion') this.#promote(effect.reason)
+      else this.#options.databases.follow(effect.database, effect.term, effect.primary).catch(() => {})
+    }
+  }
+
+  #promote (reason: string): void {
+    const { clock, databases, logger, seed } = this.#options
+    this.#promotion?.close()
+    this.#promotion = PromotionRunner.create({
+      group: this.name,
+      members: this.#listByPreference(),
+      seed: seed + this.#monitor.highestTerm,
+      databases,
+      clock,
+      logger,
+      handleEnd: (result) => { this.#handleMonitor({ type: 'promotion-ended', ...result }) }
+    })
+    this.#promotion.start(this.#monitor.highestTerm, reason)
+  }
+
+  /** Leaving databases last; otherwise the order of the configuration. */
+  #listByPreference (): string[] {
+    const staying = this.#group.databases.filter(({ leaving }) => !leaving)
+    const leaving = this.#group.databases.filter(({ leaving }) => leaving)
+    return [...staying, ...leaving].map(({ name }) => name)
+  }
+
+  #tick (): void {
+    const now = this.#now()
+    this.commits.handle({ type: 'tick' }, now)
+    this.#probes.handle({ type: 'tick' })
+    this.#handleMonitor({ type: 'tick' })
+    const due = this.#positionWaiters.filter(({ deadline }) => deadline <= now)
+    if (due.length > 0) this.#positionWaiters = this.#positionWaiters.filter(({ deadline }) => deadline > now)
+    for (const waiter of due) waiter.resolve(false)
+  }
+}
--- /dev/null
+++ b/packages/pool/src/upstream/encode-error-response.ts
@@ -0,0 +1,14 @@
+interface EncodeOptions {
+  code: string
+  text: string
+}
+
+/** ErrorResponse for a statement that the pool ends itself. */
+export function encodeErrorResponse ({ code, text }: EncodeOptions): Buffer {
+  const body = Buffer.from(`SERROR\0VERROR\0C${code}\0M${text}\0\0`, 'utf8')
+  const message = Buffer.allocUnsafe(5 + body.length)
+  message[0] = 0x45
+  message.writeUInt32BE(4 + body.length, 1)
+  body.copy(message, 5)
+  return message
+}
