Add the pool process: database tasks, group tasks, peer server, control link

Cause: execute at a primary and at a replica, majority acknowledgement and promotion need a process.

--- a/packages/coordination/src/transaction/connection-state.ts
+++ b/packages/coordination/src/transaction/connection-state.ts
@@ -81,8 +81,10 @@
     return true
   }
 
-  finishCancel (): void {
+  /** A cancel whose delivery is not certain may still hit a later statement, so the connection ends. */
+  finishCancel (delivered: boolean): void {
     this.#cancelling = Math.max(0, this.#cancelling - 1)
+    if (!delivered) this.destroy()
   }
 
   /** The session that owns the connection is gone, or something unexpected happened. */
--- /dev/null
+++ b/packages/pool/src/database/database-task.ts
@@ -0,0 +1,470 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import { SlotScheduler } from '@tanagerusher/coordination/fairness/slot-scheduler'
+import { isFloorSatisfied } from '@tanagerusher/coordination/session/is-floor-satisfied'
+import { Idempotency } from '@tanagerusher/coordination/outcome/idempotency'
+import { PendingRequests } from '@tanagerusher/coordination/transaction/pending-requests'
+import type { ErrorKind } from '@tanagerusher/errors/catalogue/error-kind'
+import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import type { ExecuteParams, ExecuteResult } from '@tanagerusher/protocol/peer/execute'
+import type { Database } from '@tanagerusher/state/configuration/database'
+import type { Logger } from 'winston'
+import type { GroupTask } from '../group/group-task.js'
+import { encodeErrorResponse } from '../upstream/encode-error-response.js'
+import type { ActiveRequest } from './active-request.js'
+import { ConnectionSet } from './connection-set.js'
+import { isTransactionEnd } from './is-transaction-end.js'
+import { mayLeaveState } from './may-leave-state.js'
+import type { PooledConnection } from './pooled-connection.js'
+import { ResultRelay } from './result-relay.js'
+import { runIdempotent } from './run-idempotent.js'
+import { runStatement, type StatementOutcome } from './run-statement.js'
+
+interface CreateOptions {
+  database: Database
+  group: GroupTask
+  applicationName: string
+  catchUpWaitMs: number
+  clock: Clock
+  logger: Logger
+}
+
+interface ExecuteOptions {
+  params: ExecuteParams
+  owner: string
+  sendChunk: (sequence: number, frames: Buffer<ArrayBuffer>) => void
+}
+
+const TICK_MS = 25
+/** Time for the answer to a cancel request; then the connection is destroyed. */
+const CANCEL_GRACE_MS = 500
+/** Time for the first status of the members after a start. */
+const QUORUM_WAIT_MS = 500
+/** SQLSTATEs with which an upstream refuses work before executing it: not writable, starting or stopping. */
+const REFUSALS = new Set(['25006', '57P01', '57P02', '57P03'])
+const QUERY_CANCELLED = '57014'
+
+/**
+ * Owns the connections to one database and runs requests on them: fair queue, slot, connection, work, confirmation. A
+ * slot is free again as soon as the database is done; confirmation by the majority does not hold it.
+ */
+export class DatabaseTask {
+  readonly #options: CreateOptions
+  readonly #scheduler: SlotScheduler
+  readonly #connections: ConnectionSet
+  readonly #pending = PendingRequests.create()
+  readonly #idempotency = Idempotency.create()
+  readonly #requests = new Map<string, ActiveRequest>()
+  readonly #waiting = new Map<string, (connection: PooledConnection) => void>()
+  readonly #pinned = new Map<string, PooledConnection>()
+  readonly #timer: NodeJS.Timeout
+  #isLeaving: boolean
+  #refusal: ErrorKind | undefined
+
+  private constructor (options: CreateOptions) {
+    const { database, group, clock, logger, applicationName } = options
+    this.#options = options
+    this.#isLeaving = database.leaving
+    this.#scheduler = SlotScheduler.create({ slots: database.slots })
+    const { databaseName, user, password } = group.group
+    this.#connections = ConnectionSet.create({
+      address: { host: database.host, port: database.port, databaseName, user, password },
+      applicationName,
+      limit: database.connections,
+      slots: database.slots,
+      clock,
+      logger,
+      countWaiting: () => this.#scheduler.waiting,
+      handleIdle: () => { this.#dispatch() },
+      handleClosed: (connection) => { this.#handleClosed(connection) },
+      handleUnreachable: (reason) => { this.#refuseWaiting(reason) }
+    })
+    this.#timer = setInterval(() => { this.#tick() }, TICK_MS)
+  }
+
+  static create (options: CreateOptions): DatabaseTask {
+    return new DatabaseTask(options)
+  }
+
+  get name (): string { return this.#options.database.name }
+  get groupName (): string { return this.#options.group.name }
+  get load (): number { return this.#scheduler.running + this.#scheduler.waiting }
+  get requestCount (): number { return this.#requests.size }
+  get openTransactions (): number { return this.#pinned.size }
+  get connectionCount (): number { return this.#connections.size }
+  get isBusy (): boolean { return this.#requests.size > 0 || this.#pinned.size > 0 }
+
+  /** Opens the warm connections. */
+  warm (): void {
+    if (!this.#isLeaving) this.#connections.fill()
+  }
+
+  /** A leaving database gets no new work; its transactions end, then its connections close. */
+  setLeaving (leaving: boolean): void {
+    if (leaving === this.#isLeaving) return
+    this.#isLeaving = leaving
+    if (!leaving) this.#connections.reopen()
+    else if (!this.isBusy) this.#connections.close()
+  }
+
+  /** Refuses new work with this error from now on; open transactions go on. */
+  refuseNewWork (kind: ErrorKind | undefined): void {
+    this.#refusal = kind
+  }
+
+  /** Holds writes and reads back without refusing them, for a planned change of primary. */
+  pause (): void { this.#scheduler.pause() }
+
+  resume (): void {
+    this.#scheduler.resume()
+    this.#dispatch()
+  }
+
+  async execute ({ params, owner, sendChunk }: ExecuteOptions): Promise<ExecuteResult> {
+    if (!this.#pending.add(params.requestId, params.sessionId, owner)) {
+      throw TanagerusherError.create('protocol-violation', { details: { reason: `request ${params.requestId} is under way` } })
+    }
+    const request: ActiveRequest = { params, owner, sendChunk, deadline: this.#now() + params.deadlineMs, isTimedOut: false, isAbandoned: false }
+    this.#requests.set(params.requestId, request)
+    try {
+      return params.transaction === 'continue' ? await this.#continue(request) : await this.#begin(request)
+    } catch (error) {
+      if (error instanceof CancelledWhileWaiting) return buildCancelledResult()
+      throw error
+    } finally {
+      this.#requests.delete(params.requestId)
+      this.#pending.take(params.requestId)
+    }
+  }
+
+  /** Cancels a request that waits or runs. Two cancels of one request send one signal. */
+  async cancel (requestId: string): Promise<boolean> {
+    const request = this.#requests.get(requestId)
+    if (request === undefined) return false
+    if (this.#scheduler.remove(requestId)) {
+      request.stopWaiting?.(new CancelledWhileWaiting())
+      return true
+    }
+    if (this.#pending.findPhase(requestId) !== 'sent' || request.connection === undefined) return false
+    request.cancelling ??= request.connection.cancel(requestId)
+    return await request.cancelling
+  }
+
+  addCredit (requestId: string, bytes: number): void {
+    this.#requests.get(requestId)?.relay?.addCredit(bytes)
+  }
+
+  /** The session is over: its open transaction is rolled back with its connection. */
+  release (sessionId: string): void {
+    const connection = this.#pinned.get(sessionId)
+    if (connection !== undefined) this.#destroy(connection)
+  }
+
+  /** The entry that `owner` identifies is gone, with all its sessions and requests. */
+  releaseOwner (owner: string): void {
+    for (const requestId of this.#pending.listByOwner(owner)) this.#abandon(requestId)
+    for (const connection of [...this.#pinned.values()]) if (connection.owner === owner) this.#destroy(connection)
+  }
+
+  /** Closes at once; open work ends as lost. */
+  close (): void {
+    clearInterval(this.#timer)
+    this.#connections.destroy()
+    this.#refuseWaiting('the pool closes')
+  }
+
+  async #begin (request: ActiveRequest): Promise<ExecuteResult> {
+    this.#checkServing()
+    const { params } = request
+    if (params.access === 'read') await this.#checkFreshness(params)
+    else await this.#checkWritable()
+    const connection = await this.#acquire(request)
+    return await this.#run(request, connection)
+  }
+
+  async #continue (request: ActiveRequest): Promise<ExecuteResult> {
+    const connection = this.#pinned.get(request.params.sessionId)
+    if (connection === undefined || !connection.upstream.isOpen) throw TanagerusherError.create('transaction-lost', { details: { reason: 'its connection is gone' } })
+    connection.idleDeadline = undefined
+    return await this.#run(request, connection)
+  }
+
+  #checkServing (): void {
+    if (this.#refusal !== undefined) throw this.#createError(this.#refusal, 'the pool takes no new work')
+    if (this.#isLeaving) throw this.#createError('unavailable', 'the database is leaving')
+  }
+
+  /** The pool reads the replica's position itself; what the entry knows may be old. */
+  async #checkFreshness ({ floor, maximumAgeMs }: ExecuteParams): Promise<void> {
+    const { group, catchUpWaitMs } = this.#options
+    const wanted = floor ?? { term: 0, position: 0 }
+    if (!await group.waitForPosition(this.name, wanted, catchUpWaitMs)) throw this.#createError('unavailable', 'the database is behind the floor')
+    if (floor !== null || maximumAgeMs === undefined) return
+    const ageMs = group.findDataAgeMs(this.name)
+    if (ageMs === undefined || ageMs > maximumAgeMs) throw this.#createError('unavailable', 'the data is older than the entry accepts')
+  }
+
+  async #checkWritable (): Promise<void> {
+    const { group } = this.#options
+    if (!group.hasQuorum() && !await group.waitForQuorum(QUORUM_WAIT_MS)) throw this.#createError('unavailable', 'no majority of the group answers')
+    this.#checkPrimary()
+  }
+
+  #checkPrimary (): void {
+    const status = this.#options.group.readStatus(this.name)
+    if (status === undefined) return
+    if (status.role !== 'primary' || status.promisedTerm > status.log.term) throw this.#createError('unavailable', 'the database is not the primary')
+  }
+
+  async #acquire (request: ActiveRequest): Promise<PooledConnection> {
+    const { requestId, organisation, weight, entry } = request.params
+    const now = this.#now()
+    const queued = this.#scheduler.enqueue({
+      id: requestId, organisation, weight, serviceClass: entry.class, deadline: request.deadline, maximumQueued: entry.maximumQueued
+    }, now)
+    if (queued.type === 'refused') throw this.#createError('overloaded', queued.reason)
+    return await new Promise((resolve, reject) => {
+      this.#waiting.set(requestId, resolve)
+      request.stopWaiting = (error) => {
+        this.#waiting.delete(requestId)
+        reject(error)
+      }
+      this.#dispatch()
+    })
+  }
+
+  #dispatch (): void {
+    while (this.#connections.idle > 0) {
+      const next = this.#scheduler.start(this.#now())
+      if (next === undefined) break
+      const request = this.#requests.get(next.id)
+      const resolve = this.#waiting.get(next.id)
+      const connection = this.#connections.take(request?.params.access === 'read')
+      this.#waiting.delete(next.id)
+      if (connection === undefined || resolve === undefined) this.#scheduler.finish(next.id, this.#now())
+      else {
+        connection.slotId = next.id
+        resolve(connection)
+      }
+    }
+    this.#connections.fill()
+  }
+
+  async #run (request: ActiveRequest, connection: PooledConnection): Promise<ExecuteResult> {
+    const { params } = request
+    const { group } = this.#options
+    if (params.transaction !== 'continue') this.#checkBeforeSend(request, connection)
+    if (!connection.state.start(params.sessionId, params.requestId) || !connection.upstream.isOpen) {
+      this.#destroy(connection)
+      throw params.transaction === 'continue' ? this.#createLost() : this.#createError('unavailable', 'the connection was lost before the request was sent')
+    }
+    const termBefore = group.readStatus(this.name)?.log.term
+    const outcome = await this.#send(request, connection)
+    await this.#settle(request, connection, outcome)
+    return await this.#answer(request, outcome, termBefore)
+  }
+
+  /** The role may have changed, or the entry may have gone, while the request waited. */
+  #checkBeforeSend ({ params, isAbandoned }: ActiveRequest, connection: PooledConnection): void {
+    try {
+      if (isAbandoned) throw this.#createError('unavailable', 'the entry is gone')
+      if (params.access === 'write') this.#checkPrimary()
+    } catch (error) {
+      this.#freeSlot(connection)
+      this.#connections.putBack(connection)
+      throw error
+    }
+  }
+
+  async #send (request: ActiveRequest, connection: PooledConnection): Promise<StatementOutcome> {
+    const { params } = request
+    request.connection = connection
+    this.#pending.setPhase(params.requestId, 'sent')
+    try {
+      return params.idempotencyKey !== undefined && params.transaction !== 'continue' && params.access === 'write'
+        ? await runIdempotent({ connection, params, idempotency: this.#idempotency, deadline: request.deadline, clock: this.#options.clock })
+        : await this.#sendPlain(request, connection)
+    } catch (error) {
+      // A refusal from the idempotency record leaves the connection outside any transaction, ready for reuse.
+      if (error instanceof TanagerusherError) await this.#settle(request, connection, refusedOutcome)
+      else this.#destroy(connection)
+      throw error instanceof TanagerusherError ? error : this.#classifyLoss(request, String((error as Error).message))
+    } finally {
+      request.relay = undefined
+      if (this.#pending.findPhase(params.requestId) === 'sent') this.#pending.setPhase(params.requestId, 'confirming')
+    }
+  }
+
+  async #sendPlain (request: ActiveRequest, connection: PooledConnection): Promise<StatementOutcome> {
+    const { params, sendChunk } = request
+    const relay = ResultRelay.create({ upstream: connection.upstream, windowBytes: params.windowBytes, sendChunk })
+    request.relay = relay
+    const withStatus = params.transaction === 'none' || isTransactionEnd(params)
+    const readOnly = params.transaction === 'continue' ? connection.isReadOnly : params.access === 'read'
+    return await runStatement({ connection, params, readOnly, relay, withStatus })
+  }
+
+  /** Decides what becomes of the connection and frees the slot, unless a transaction goes on. */
+  async #settle (request: ActiveRequest, connection: PooledConnection, outcome: StatementOutcome): Promise<void> {
+    const { params } = request
+    if (request.cancelling !== undefined) await request.cancelling
+    if (!connection.upstream.isOpen) connection.state.destroy()
+    const action = connection.state.finish({
+      requestId: params.requestId, status: outcome.status, mayLeaveState: mayLeaveState({ ...params, ...outcome, frames: params.frames })
+    })
+    if (action === 'keep' && request.isAbandoned) {
+      this.#destroy(connection)
+      return
+    }
+    if (action === 'keep') {
+      connection.owner = request.owner
+      connection.idleDeadline = this.#now() + params.entry.idleTransactionTimeoutMs
+      this.#pinned.set(params.sessionId, connection)
+      return
+    }
+    if (this.#pinned.get(params.sessionId) === connection) this.#pinned.delete(params.sessionId)
+    connection.owner = undefined
+    if (action === 'destroy') {
+      this.#destroy(connection)
+      return
+    }
+    const slotId = connection.slotId
+    connection.slotId = undefined
+    if (action === 'reset') void this.#reset(connection)
+    if (slotId !== undefined) this.#scheduler.finish(slotId, this.#now())
+    if (action === 'reuse') this.#connections.putBack(connection)
+    else this.#dispatch()
+  }
+
+  async #reset (connection: PooledConnection): Promise<void> {
+    const succeeded = await connection.reset()
+    if (connection.state.finishReset(succeeded) === 'reuse') this.#connections.putBack(connection)
+    else this.#destroy(connection)
+  }
+
+  async #answer (request: ActiveRequest, outcome: StatementOutcome, termBefore: number | undefined): Promise<ExecuteResult> {
+    const { params } = request
+    const isRead = params.access === 'read'
+    if (outcome.isRejected && outcome.error !== undefined && params.transaction !== 'continue' && REFUSALS.has(outcome.error.code)) {
+      throw this.#createError('unavailable', outcome.error.code === '25006' && isRead ? 'read-only' : outcome.error.text)
+    }
+    const result = { frames: outcome.frames, transactionStatus: outcome.status, chunks: outcome.chunks }
+    if (outcome.status !== 'I') return { ...result, position: null }
+    const status = outcome.databaseStatus
+    if (status === undefined) {
+      if (outcome.error !== undefined && outcome.isRejected) return { ...result, position: null }
+      throw isRead ? this.#createError('unavailable', 'the position is not known') : this.#createUnknown('the position after the work is not known')
+    }
+    this.#options.group.observe(status)
+    if (isRead) this.#checkReadStatus(params, status.log.term, termBefore, isFloorSatisfied(status.log, params.floor ?? status.log))
+    if (outcome.error !== undefined && outcome.isRejected) return { ...result, position: null }
+    const isRolledBack = outcome.tags.at(-1) === 'ROLLBACK'
+    try {
+      await this.#options.group.confirm(status.log, request.deadline)
+    } catch (error) {
+      if (isRolledBack) return { ...result, position: null }
+      throw isRead ? this.#createError('unavailable', 'what the read saw was not confirmed by a majority') : error
+    }
+    return { ...result, position: status.log }
+  }
+
+  /** A log that changed its term during the read may have lost entries that the read saw. */
+  #checkReadStatus (params: ExecuteParams, term: number, termBefore: number | undefined, satisfiesFloor: boolean): void {
+    if (!satisfiesFloor || (params.transaction === 'none' && termBefore !== undefined && term !== termBefore)) {
+      throw this.#createError('unavailable', 'the log of the database changed during the read')
+    }
+  }
+
+  #classifyLoss ({ params, isTimedOut }: ActiveRequest, reason: string): TanagerusherError {
+    const text = isTimedOut ? 'deadline passed' : reason
+    const isRead = params.access === 'read'
+    if (params.transaction !== 'none' && (isRead || !isTransactionEnd(params))) return this.#createLost(text)
+    if (isRead) return this.#createError('unavailable', text)
+    return this.#createUnknown(text)
+  }
+
+  #abandon (requestId: string): void {
+    const request = this.#requests.get(requestId)
+    if (request === undefined) return
+    request.isAbandoned = true
+    if (this.#scheduler.remove(requestId)) request.stopWaiting?.(this.#createError('unavailable', 'the entry is gone'))
+    else if (this.#pending.findPhase(requestId) === 'sent') {
+      void this.cancel(requestId).finally(() => { if (request.connection !== undefined) this.#destroy(request.connection) })
+    }
+  }
+
+  #destroy (connection: PooledConnection): void {
+    connection.destroy()
+    this.#forget(connection)
+  }
+
+  #handleClosed (connection: PooledConnection): void {
+    connection.state.destroy()
+    this.#forget(connection)
+  }
+
+  #forget (connection: PooledConnection): void {
+    for (const [sessionId, pinned] of this.#pinned) if (pinned === connection) this.#pinned.delete(sessionId)
+    this.#freeSlot(connection)
+    this.#dispatch()
+  }
+
+  #freeSlot (connection: PooledConnection): void {
+    if (connection.slotId !== undefined) this.#scheduler.finish(connection.slotId, this.#now())
+    connection.slotId = undefined
+  }
+
+  #refuseWaiting (reason: string): void {
+    for (const [requestId, request] of this.#requests) {
+      if (this.#scheduler.remove(requestId)) request.stopWaiting?.(this.#createError('unavailable', reason))
+    }
+  }
+
+  #tick (): void {
+    const now = this.#now()
+    for (const { id } of this.#scheduler.expire(now)) {
+      this.#requests.get(id)?.stopWaiting?.(this.#createError('overloaded', 'deadline passed in the queue'))
+    }
+    for (const request of this.#requests.values()) if (request.deadline <= now) this.#handleTimeout(request, now)
+    for (const connection of [...this.#pinned.values()]) {
+      if (connection.idleDeadline !== undefined && connection.idleDeadline <= now) this.#destroy(connection)
+    }
+    if (this.#isLeaving && !this.isBusy) this.#connections.close()
+    if (this.#scheduler.waiting > 0) this.#dispatch()
+  }
+
+  #handleTimeout (request: ActiveRequest, now: number): void {
+    const { requestId } = request.params
+    if (this.#pending.findPhase(requestId) !== 'sent' || request.connection === undefined) return
+    if (!request.isTimedOut) {
+      request.isTimedOut = true
+      void this.cancel(requestId)
+    } else if (now >= request.deadline + CANCEL_GRACE_MS) this.#destroy(request.connection)
+  }
+
+  #now (): number {
+    return this.#options.clock.readTime()
+  }
+
+  #createError (kind: ErrorKind, reason: string): TanagerusherError {
+    return TanagerusherError.create(kind, { details: { group: this.groupName, database: this.name, reason } })
+  }
+
+  #createUnknown (reason: string): TanagerusherError {
+    return TanagerusherError.create('outcome-unknown', { details: { reason } })
+  }
+
+  #createLost (reason = 'its connection is gone'): TanagerusherError {
+    return TanagerusherError.create('transaction-lost', { details: { reason } })
+  }
+}
+
+const refusedOutcome: StatementOutcome = {
+  frames: Buffer.alloc(0), chunks: 0, status: 'I', tags: [], error: undefined, isRejected: true, hasParameterStatus: false, databaseStatus: undefined
+}
+
+class CancelledWhileWaiting extends Error {}
+
+function buildCancelledResult (): ExecuteResult {
+  const frames = encodeErrorResponse({ code: QUERY_CANCELLED, text: 'canceling statement due to user request' })
+  return { frames, transactionStatus: 'I', position: null, chunks: 0 }
+}
--- /dev/null
+++ b/packages/pool/src/database/run-idempotent.ts
@@ -0,0 +1,133 @@
+import { setTimeout as wait } from 'node:timers/promises'
+import { serialize } from 'pg-protocol'
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import { Idempotency, type IdempotencyRecord } from '@tanagerusher/coordination/outcome/idempotency'
+import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import type { ExecuteParams } from '@tanagerusher/protocol/peer/execute'
+import { RowCollector, type CollectedRows } from '../upstream/row-collector.js'
+import { decodeDatabaseStatus } from '../upstream/decode-database-status.js'
+import type { PooledConnection } from './pooled-connection.js'
+import { ResultRelay, type RelayedResult } from './result-relay.js'
+import { runStatement, type StatementOutcome } from './run-statement.js'
+
+interface RunOptions {
+  connection: PooledConnection
+  params: ExecuteParams
+  idempotency: Idempotency
+  deadline: number
+  clock: Clock
+}
+
+interface Work extends RunOptions {
+  key: string
+  digest: string
+}
+
+const UNIQUE_VIOLATION = '23505'
+const RECORD_WAIT_MS = 20
+
+/**
+ * Runs work with an idempotency key: its record is written in the same transaction, before the work, so that a repeat
+ * fails on the key before it runs anything. The first answer is added to the record before the commit.
+ */
+export async function runIdempotent (options: RunOptions): Promise<StatementOutcome> {
+  const { params, idempotency } = options
+  const isTransaction = params.transaction === 'begin'
+  const digest = idempotency.computeDigest({ organisation: params.organisation, entryName: params.entryName, isTransaction, frames: params.frames, statements: params.statements })
+  const work = { ...options, digest, key: quote(`${params.organisation}/${params.idempotencyKey as string}`) }
+  return isTransaction ? await beginTransaction(work) : await runAutocommit(work)
+}
+
+async function beginTransaction (work: Work): Promise<StatementOutcome> {
+  const outcome = await run(work)
+  if (outcome.status !== 'T') return outcome
+  const inserted = await query(work.connection, buildInsert(work))
+  if (inserted.error === undefined) return outcome
+  if (inserted.error.code !== UNIQUE_VIOLATION) throw new Error(inserted.error.text)
+  return await repeat(work)
+}
+
+async function runAutocommit (work: Work): Promise<StatementOutcome> {
+  const inserting = query(work.connection, `BEGIN; ${buildInsert(work)}`)
+  const running = run(work)
+  const inserted = await inserting
+  const outcome = await running
+  if (inserted.error?.code === UNIQUE_VIOLATION) return await repeat(work)
+  // The caller's own statements ended the transaction, and the record with it.
+  if (outcome.status === 'I' && outcome.error === undefined) return { ...outcome, databaseStatus: await readStatus(work.connection) }
+  if (outcome.status !== 'T') {
+    await query(work.connection, 'ROLLBACK')
+    if (inserted.error !== undefined) throw TanagerusherError.create('unavailable', { details: { group: work.params.group, reason: inserted.error.text } })
+    return { ...outcome, status: 'I', isRejected: true }
+  }
+  return await commit(work, outcome)
+}
+
+async function commit (work: Work, outcome: StatementOutcome): Promise<StatementOutcome> {
+  const { connection } = work
+  const isRecorded = outcome.frames.length <= Idempotency.maximumResponseBytes
+  const updated = isRecorded
+    ? query(connection, `UPDATE tanagerusher_request SET response = '${outcome.frames.toString('base64')}' WHERE idempotency_key = ${work.key}`)
+    : undefined
+  const committing = query(connection, 'COMMIT')
+  const status = await readStatus(connection)
+  await updated
+  const committed = await committing
+  if (committed.error !== undefined || committed.status !== 'I') throw new Error(committed.error?.text ?? 'the commit failed')
+  return { ...outcome, status: 'I', databaseStatus: status }
+}
+
+/** The key exists: ends the failed transaction and answers from the record. */
+async function repeat (work: Work): Promise<StatementOutcome> {
+  await query(work.connection, 'ROLLBACK')
+  const record = await findRecord(work)
+  const isTransaction = work.params.transaction === 'begin'
+  const decision = record === undefined ? undefined : work.idempotency.decide({ record, digest: work.digest, isTransaction })
+  const details = { idempotencyKey: work.params.idempotencyKey }
+  switch (decision?.type) {
+    case 'answer': return { ...emptyResult, frames: Buffer.from(decision.response), databaseStatus: await readStatus(work.connection) }
+    case 'already-run': throw TanagerusherError.create('transaction-already-run', { details })
+    case 'conflict': throw TanagerusherError.create('idempotency-conflict', { details })
+    default: throw TanagerusherError.create('unavailable', { details: { group: work.params.group, reason: 'the same work is under way' } })
+  }
+}
+
+/** The first request may still be under way; its record becomes visible when it commits. */
+async function findRecord ({ connection, key, deadline, clock }: Work): Promise<IdempotencyRecord | undefined> {
+  do {
+    const { rows: [row], error } = await query(connection, `SELECT digest, response FROM tanagerusher_request WHERE idempotency_key = ${key}`)
+    if (error !== undefined) throw new Error(error.text)
+    if (row !== undefined) return { digest: String(row.digest), response: row.response == null ? null : Buffer.from(row.response, 'base64') }
+    await wait(RECORD_WAIT_MS)
+  } while (clock.readTime() < deadline)
+  return undefined
+}
+
+const emptyResult: Omit<RelayedResult, 'frames'> = { chunks: 0, status: 'I', tags: [], error: undefined, isRejected: false, hasParameterStatus: false }
+
+async function run ({ connection, params }: Work): Promise<StatementOutcome> {
+  const relay = ResultRelay.create({ upstream: connection.upstream, windowBytes: params.windowBytes })
+  return await runStatement({ connection, params, readOnly: false, relay, withStatus: false })
+}
+
+async function readStatus (connection: PooledConnection): Promise<StatementOutcome['databaseStatus']> {
+  const { rows } = await query(connection, 'SELECT * FROM platform_status()')
+  return rows[0] === undefined ? undefined : decodeDatabaseStatus(rows[0])
+}
+
+function buildInsert ({ key, digest }: Work): string {
+  return `INSERT INTO tanagerusher_request (idempotency_key, digest) VALUES (${key}, '${digest}')`
+}
+
+function quote (text: string): string {
+  return `'${text.replaceAll("'", "''")}'`
+}
+
+async function query (connection: PooledConnection, text: string): Promise<CollectedRows> {
+  return await new Promise((resolve, reject) => {
+    connection.upstream.send(serialize.query(text), RowCollector.create((result) => {
+      if ('closed' in result) reject(new Error(result.closed))
+      else resolve(result)
+    }))
+  })
+}
--- /dev/null
+++ b/packages/pool/src/database/run-statement.ts
@@ -0,0 +1,58 @@
+import { serialize } from 'pg-protocol'
+import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
+import type { ExecuteParams } from '@tanagerusher/protocol/peer/execute'
+import { decodeDatabaseStatus } from '../upstream/decode-database-status.js'
+import { RowCollector, type CollectedRows } from '../upstream/row-collector.js'
+import type { UpstreamConnection } from '../upstream/upstream-connection.js'
+import { encodeErrorResponse } from '../upstream/encode-error-response.js'
+import type { PooledConnection } from './pooled-connection.js'
+import type { RelayedResult, ResultRelay } from './result-relay.js'
+
+interface RunOptions {
+  connection: PooledConnection
+  params: Pick<ExecuteParams, 'frames' | 'statements'>
+  readOnly: boolean
+  relay: ResultRelay
+  /** Whether to read the database's status after the work, on the same connection. */
+  withStatus: boolean
+}
+
+export interface StatementOutcome extends RelayedResult {
+  databaseStatus: DatabaseStatus | undefined
+}
+
+const STATUS_QUERY = serialize.query('SELECT * FROM platform_status()')
+
+/**
+ * Runs frontend messages on a connection. Everything leaves in one write: switching the session, missing statements, the
+ * work, and the status query behind it, whose position is at or after everything that the work read or wrote.
+ */
+export async function runStatement ({ connection, params, readOnly, relay, withStatus }: RunOptions): Promise<StatementOutcome> {
+  const { upstream } = connection
+  const switching = connection.switchReadOnly(readOnly)
+  const switched = switching === undefined ? undefined : collect(upstream, switching)
+  const preparation = connection.prepared.prepare(params)
+  const prepared = preparation === undefined ? undefined : collect(upstream, preparation)
+  upstream.send(params.frames, relay)
+  const status = withStatus ? collect(upstream, STATUS_QUERY) : undefined
+  const result = await relay.result
+  if ((await switched)?.error !== undefined) upstream.destroy()
+  const failed = (await prepared)?.error
+  if (failed !== undefined) connection.prepared.clear()
+  const isEndUnread = !withStatus && result.status === 'I' && !result.isRejected
+  const rows = (await (isEndUnread ? collect(upstream, STATUS_QUERY) : status))?.rows
+  return {
+    ...result,
+    // Without its statement the work fails too; the cause is the better answer.
+    ...(failed === undefined ? {} : { frames: encodeErrorResponse(failed), error: failed }),
+    databaseStatus: rows?.[0] === undefined ? undefined : decodeDatabaseStatus(rows[0])
+  }
+}
+
+async function collect (upstream: UpstreamConnection, bytes: Uint8Array): Promise<CollectedRows> {
+  return await new Promise((resolve) => {
+    upstream.send(bytes, RowCollector.create((result) => {
+      resolve('closed' in result ? { rows: [], error: { code: '08006', text: result.closed }, status: 'I' } : result)
+    }))
+  })
+}
--- a/packages/pool/src/group/group-task.ts
+++ b/packages/pool/src/group/group-task.ts
@@ -1,3 +1,4 @@
+import { setTimeout as wait } from 'node:timers/promises'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import { DataAgeTracker } from '@tanagerusher/coordination/failover/data-age-tracker'
 import { findQuorumSize } from '@tanagerusher/coordination/failover/find-quorum-size'
@@ -113,6 +114,20 @@
     return reachable.length >= findQuorumSize(this.#watches.size)
   }
 
+  /** Age of the data that a database holds; undefined when it is not known. The primary's is 0. */
+  findDataAgeMs (database: string): number | undefined {
+    const status = this.readStatus(database)
+    if (status === undefined) return undefined
+    return status.role === 'primary' ? 0 : this.#dataAge.findAgeMs(status.log, this.#now())
+  }
+
+  /** Waits until enough members answer; false when they do not in time. */
+  async waitForQuorum (timeoutMs: number): Promise<boolean> {
+    const deadline = this.#now() + timeoutMs
+    while (!this.hasQuorum() && this.#now() < deadline) await wait(TICK_MS)
+    return this.hasQuorum()
+  }
+
   async probe (deadlineMs: number): Promise<Position> {
     const deadline = this.#now() + deadlineMs
     const position = await this.#probes.probe(deadline)
@@ -153,7 +168,7 @@
       members: [...this.#watches.values()].flatMap((watch) => {
         const { status, heardAt } = watch
         if (status === undefined) return []
-        const age = status.role === 'primary' ? undefined : this.#dataAge.findAgeMs(status.log, now)
+        const age = this.findDataAgeMs(status.database)
         return {
           database: status.database,
           role: status.role,
--- /dev/null
+++ b/packages/pool/src/peer/entry-connection.ts
@@ -0,0 +1,103 @@
+import { cancel } from '@tanagerusher/protocol/peer/cancel'
+import { execute, type ExecuteParams } from '@tanagerusher/protocol/peer/execute'
+import { executeChunk } from '@tanagerusher/protocol/peer/execute-chunk'
+import { executeCredit } from '@tanagerusher/protocol/peer/execute-credit'
+import { groupStatusNotification } from '@tanagerusher/protocol/peer/group-status'
+import { probeFloor } from '@tanagerusher/protocol/peer/probe-floor'
+import { release } from '@tanagerusher/protocol/peer/release'
+import { watchGroups } from '@tanagerusher/protocol/peer/watch-groups'
+import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import type { GroupStatus } from '@tanagerusher/state/group/group-status'
+import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
+import type { DatabaseTask } from '../database/database-task.js'
+import type { GroupTask } from '../group/group-task.js'
+
+interface CreateOptions {
+  id: string
+  connection: PeerConnection
+  /** Rejects with `unavailable` when the configuration has no such group or database. */
+  findDatabase: (group: string, database: string) => DatabaseTask
+  findGroup: (group: string) => GroupTask
+  listDatabases: () => Iterable<DatabaseTask>
+  /** Throws when the pool serves nobody now. */
+  checkServing: () => void
+  handleClosed: () => void
+}
+
+/** One entry's connection: its requests, and the groups that it watches. When it ends, its sessions end. */
+export class EntryConnection {
+  readonly #options: CreateOptions
+  readonly #databaseByRequest = new Map<string, DatabaseTask>()
+  #watched = new Set<string>()
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+  }
+
+  static create (options: CreateOptions): EntryConnection {
+    const entry = new EntryConnection(options)
+    entry.#addMethods()
+    void options.connection.closed.then(() => { entry.#handleClosed() })
+    return entry
+  }
+
+  isWatching (group: string): boolean {
+    return this.#watched.has(group)
+  }
+
+  sendStatus (status: GroupStatus): void {
+    if (this.#watched.has(status.group)) this.#options.connection.notify(groupStatusNotification, status)
+  }
+
+  #addMethods (): void {
+    const { connection } = this.#options
+    connection.addMethod(execute, async (params) => await this.#execute(params))
+    connection.addMethod(cancel, async ({ requestId }) => ({ cancelled: await this.#databaseByRequest.get(requestId)?.cancel(requestId) ?? false }))
+    connection.addMethod(release, async ({ sessionId }) => {
+      for (const database of this.#options.listDatabases()) database.release(sessionId)
+      return {}
+    })
+    connection.addMethod(probeFloor, async ({ group, deadlineMs }) => {
+      this.#options.checkServing()
+      return { position: await this.#options.findGroup(group).probe(deadlineMs) }
+    })
+    connection.addMethod(watchGroups, async ({ groups }) => {
+      this.#watched = new Set(groups)
+      return { statuses: groups.flatMap((group) => this.#buildStatus(group) ?? []) }
+    })
+    connection.addNotification(executeCredit, ({ requestId, bytes }) => { this.#databaseByRequest.get(requestId)?.addCredit(requestId, bytes) })
+  }
+
+  async #execute (params: ExecuteParams): Promise<Awaited<ReturnType<DatabaseTask['execute']>>> {
+    const { requestId } = params
+    if (params.transaction !== 'continue') this.#options.checkServing()
+    const database = this.#options.findDatabase(params.group, params.database)
+    if (this.#databaseByRequest.has(requestId)) {
+      throw TanagerusherError.create('protocol-violation', { details: { reason: `request ${requestId} is under way` } })
+    }
+    this.#databaseByRequest.set(requestId, database)
+    try {
+      return await database.execute({
+        params,
+        owner: this.#options.id,
+        sendChunk: (sequence, frames) => { this.#options.connection.notify(executeChunk, { requestId, sequence, frames }) }
+      })
+    } finally {
+      this.#databaseByRequest.delete(requestId)
+    }
+  }
+
+  #buildStatus (group: string): GroupStatus | undefined {
+    try {
+      return this.#options.findGroup(group).buildStatus()
+    } catch {
+      return undefined
+    }
+  }
+
+  #handleClosed (): void {
+    this.#watched.clear()
+    for (const database of this.#options.listDatabases()) database.releaseOwner(this.#options.id)
+    this.#options.handleClosed()
+  }
+}
--- /dev/null
+++ b/packages/pool/src/process/pool-process.ts
@@ -0,0 +1,142 @@
+import { randomUUID } from 'node:crypto'
+import { readFileSync } from 'node:fs'
+import { setTimeout as wait } from 'node:timers/promises'
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
+import { SystemClock } from '@tanagerusher/runtime/clock/system-clock'
+import { createLogger } from '@tanagerusher/runtime/log/create-logger'
+import { PeerServer } from '@tanagerusher/transport/peer/peer-server'
+import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
+import type { Logger } from 'winston'
+import { PoolConfiguration } from '../configuration/pool-configuration.js'
+import { ControlLink } from '../control/control-link.js'
+import type { GroupTask } from '../group/group-task.js'
+import { EntryConnection } from '../peer/entry-connection.js'
+import type { PoolSettings } from '../settings/pool-settings.js'
+import { StatusSender } from './status-sender.js'
+import { TaskRegistry } from './task-registry.js'
+
+interface TlsFiles {
+  cert: Buffer
+  key: Buffer
+  ca: Buffer
+}
+
+const MAINTENANCE_MS = 1000
+const DRAIN_POLL_MS = 10
+
+/** The pool process: peer server, link to control, and the tasks of groups and databases. */
+export class PoolProcess {
+  readonly #settings: PoolSettings
+  readonly #clock: Clock
+  readonly #logger: Logger
+  readonly #configuration = PoolConfiguration.create()
+  readonly #registry: TaskRegistry
+  readonly #sender: StatusSender
+  readonly #entries = new Set<EntryConnection>()
+  readonly #timers: NodeJS.Timeout[] = []
+  #server!: PeerServer
+  #link!: ControlLink
+  #nextEntry = 1
+  #isStopping = false
+
+  private constructor (settings: PoolSettings) {
+    this.#settings = settings
+    this.#clock = SystemClock.create()
+    this.#logger = createLogger({ label: 'pool', level: settings.logLevel, fields: { host: settings.host, dataCentre: settings.dataCentre } })
+    this.#sender = StatusSender.create({ send: (task) => { this.#sendStatus(task) } })
+    this.#registry = TaskRegistry.create({
+      settings,
+      configuration: this.#configuration,
+      clock: this.#clock,
+      logger: this.#logger,
+      seed: Number.parseInt(randomUUID().slice(0, 7), 16),
+      isWatched: (group) => [...this.#entries].some((entry) => entry.isWatching(group)),
+      handleStatus: (task) => { this.#sender.schedule(task) }
+    })
+  }
+
+  /** Starts the process; it serves as soon as control has sent a configuration. */
+  static async start (settings: PoolSettings): Promise<PoolProcess> {
+    const pool = new PoolProcess(settings)
+    await pool.#open()
+    return pool
+  }
+
+  get port (): number { return this.#server.port }
+
+  /** Graceful shutdown: no new work, what is under way finishes, open transactions get until the time limit. */
+  async close (): Promise<void> {
+    this.#isStopping = true
+    const deadline = this.#clock.readTime() + this.#settings.shutdownTimeoutMs
+    while (this.#isBusy() && this.#clock.readTime() < deadline) await wait(DRAIN_POLL_MS)
+    for (const timer of this.#timers) clearInterval(timer)
+    this.#link.close()
+    this.#sender.close()
+    await Promise.race([this.#server.close(), wait(DRAIN_POLL_MS * 10)])
+    this.#server.destroy()
+    this.#registry.close()
+  }
+
+  async #open (): Promise<void> {
+    const { host, dataCentre, region, address, port, control } = this.#settings
+    const hello: PeerHello = { host, incarnation: randomUUID(), dataCentre, region, role: 'pool', protocolVersions: [1] }
+    const tls = this.#readTls()
+    this.#server = await PeerServer.open({
+      address, port, hello, ...(tls === undefined ? {} : { tls }), handleConnection: (connection) => { this.#accept(connection) }
+    })
+    this.#link = ControlLink.create({
+      addresses: control,
+      hello,
+      address: { host: address, port: this.#server.port },
+      tls,
+      configuration: this.#configuration,
+      clock: this.#clock,
+      logger: this.#logger,
+      handleChange: () => { this.#registry.update() }
+    })
+    this.#timers.push(
+      setInterval(() => { this.#registry.closeUnused() }, MAINTENANCE_MS),
+      setInterval(() => { for (const task of this.#registry.groups) this.#sender.schedule(task) }, this.#sender.refreshMs)
+    )
+    this.#logger.info('pool listens', { address, port: this.#server.port })
+  }
+
+  #accept (connection: PeerConnection): void {
+    const entry = EntryConnection.create({
+      id: String(this.#nextEntry++),
+      connection,
+      findDatabase: (group, database) => this.#registry.findDatabase(group, database),
+      findGroup: (group) => this.#registry.findGroup(group),
+      listDatabases: () => this.#registry.databases,
+      checkServing: () => { this.#checkServing() },
+      handleClosed: () => { this.#entries.delete(entry) }
+    })
+    this.#entries.add(entry)
+  }
+
+  #checkServing (): void {
+    if (this.#isStopping) throw TanagerusherError.create('shutting-down')
+    const ageMs = this.#configuration.computeAgeMs(this.#clock.readTime())
+    if (ageMs > this.#settings.staleConfigurationMs) {
+      throw TanagerusherError.create('configuration-stale', { details: { ageMs: Math.round(Math.min(ageMs, Number.MAX_SAFE_INTEGER)) } })
+    }
+  }
+
+  #sendStatus (task: GroupTask): void {
+    if (![...this.#entries].some((entry) => entry.isWatching(task.name))) return
+    const status = task.buildStatus()
+    for (const entry of this.#entries) entry.sendStatus(status)
+  }
+
+  #isBusy (): boolean {
+    return [...this.#registry.databases].some(({ isBusy }) => isBusy)
+  }
+
+  #readTls (): TlsFiles | undefined {
+    const { tls } = this.#settings
+    if (tls === undefined) return undefined
+    return { cert: readFileSync(tls.certificateFile), key: readFileSync(tls.keyFile), ca: readFileSync(tls.authorityFile) }
+  }
+}
--- a/packages/pool/src/upstream/encode-error-response.ts
+++ b/packages/pool/src/upstream/encode-error-response.ts
@@ -4,7 +4,7 @@
 }
 
 /** ErrorResponse for a statement that the pool ends itself. */
-export function encodeErrorResponse ({ code, text }: EncodeOptions): Buffer {
+export function encodeErrorResponse ({ code, text }: EncodeOptions): Buffer<ArrayBuffer> {
   const body = Buffer.from(`SERROR\0VERROR\0C${code}\0M${text}\0\0`, 'utf8')
   const message = Buffer.allocUnsafe(5 + body.length)
   message[0] = 0x45
