Measure ways to place databases on hosts

Cause: the design lets the first host in rendezvous order own a database; the width of the choice and load-aware choices had not been weighed.

--- /dev/null
+++ b/packages/capacity/src/main.ts
@@ -0,0 +1,28 @@
+import { Command } from 'commander'
+import { BoundedLoadPolicy } from './assignment/bounded-load-policy.js'
+import { FirstInOrderPolicy } from './assignment/first-in-order-policy.js'
+import { LeastLoadedPolicy } from './assignment/least-loaded-policy.js'
+import { runAssignmentExperiment } from './assignment/run-assignment-experiment.js'
+
+const program = new Command('tanagerusher-capacity').description('Measures what the coordination mechanisms cost as the fleet grows').version('0.1.0')
+
+program.command('assignment')
+  .description('compares ways to place databases on hosts, and the width of the set of hosts that one database may go to')
+  .option('--hosts <n>', 'hosts of the fleet', Number, 2200)
+  .option('--databases <n>', 'databases of the fleet', Number, 39_000)
+  .option('--widths <list>', 'hosts among which a database is placed', '9,23,69,244')
+  .option('--failures <n>', 'host failures that are averaged', Number, 20)
+  .option('--seed <n>', 'seed', Number, 1)
+  .action(({ hosts, databases, widths, failures, seed }: { hosts: number, databases: number, widths: string, failures: number, seed: number }) => {
+    for (const width of widths.split(',').map(Number)) {
+      const policies = [
+        FirstInOrderPolicy.create(),
+        LeastLoadedPolicy.create({ name: 'better of two', choices: 2 }),
+        LeastLoadedPolicy.create({ name: 'least loaded', choices: width }),
+        BoundedLoadPolicy.create()
+      ]
+      for (const policy of policies) console.log(JSON.stringify(runAssignmentExperiment({ policy, hosts, databases, width, seed, failures })))
+    }
+  })
+
+await program.parseAsync()
