--- /dev/null
+++ b/packages/store/src/process/store-service.ts
@@ -0,0 +1,57 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import { SystemClock } from '@tanagerusher/runtime/clock/system-clock'
+import { CallBudget } from '../budget/call-budget.js'
+import { CallStatistics } from '../budget/call-statistics.js'
+import { FaultState } from '../faults/fault-state.js'
+import { HostList } from '../hosts/host-list.js'
+import { ControlServer } from '../http/control-server.js'
+import { ObjectServer } from '../http/object-server.js'
+import { WatchHub } from '../http/watch-hub.js'
+import { ObjectTable } from '../objects/object-table.js'
+import type { StoreSettings } from '../settings/store-settings.js'
+
+/** The stand-in for the platform's object API: one process, state in memory. */
+export class StoreService {
+  readonly #objects: ObjectServer
+  readonly #control: ControlServer
+
+  private constructor (objects: ObjectServer, control: ControlServer) {
+    this.#objects = objects
+    this.#control = control
+  }
+
+  static async start (settings: StoreSettings, clock: Clock = SystemClock.create()): Promise<StoreService> {
+    const faults = FaultState.create()
+    const statistics = CallStatistics.create()
+    const watches = WatchHub.create()
+    faults.watch(() => { if (faults.faults.outage !== 'none') watches.end() })
+    const server = ObjectServer.create({
+      settings,
+      objects: createObjects(settings),
+      hosts: HostList.create({ delayMs: settings.hostListDelayMs, timeoutMs: settings.hostTimeoutMs, hosts: settings.hosts }),
+      readBudget: CallBudget.create({ perSecond: settings.readsPerSecond, burstSeconds: settings.burstSeconds }),
+      writeBudget: CallBudget.create({ perSecond: settings.writesPerSecond, burstSeconds: settings.burstSeconds }),
+      statistics,
+      faults,
+      watches,
+      readTime: () => clock.readTime()
+    })
+    await server.listen()
+    const control = await ControlServer.open({ address: settings.address, port: settings.controlPort, faults, statistics })
+    return new StoreService(server, control)
+  }
+
+  get port (): number { return this.#objects.port }
+  get controlPort (): number { return this.#control.port }
+
+  async close (): Promise<void> {
+    await this.#objects.close()
+    await this.#control.close()
+  }
+}
+
+function createObjects (settings: StoreSettings): ObjectTable {
+  const table = ObjectTable.create()
+  for (const { kind, name, value } of settings.objects) table.write(kind, name, value, 0)
+  return table
+}
