--- /dev/null
+++ b/packages/coordination/src/outcome/retry-policy.ts
@@ -0,0 +1,68 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import type { RequestOutcome } from './outcome-classifier.js'
+
+interface CreateOptions {
+  seed: number
+  baseDelayMs: number
+  maximumDelayMs: number
+  /** Retries that each request adds to the budget. */
+  budgetRatio: number
+  /** Most retries that the budget holds. */
+  maximumBudget: number
+}
+
+export interface RetryRequest {
+  /** Retries made for this request so far. */
+  attempt: number
+  outcome: RequestOutcome
+  /** The work may run again: repeatable entry, read at a read-only replica, or protected by an idempotency record. */
+  isRepeatable: boolean
+  /** Upstream state would be lost: the request continues a transaction block. */
+  isInTransaction: boolean
+  deadline: number
+}
+
+export type RetryDecision = { type: 'retry', delayMs: number } | { type: 'fail' }
+
+/**
+ * Decides whether a failed request is sent again. The budget bounds repeats of work that may have run to a fraction of
+ * the requests, so that a slow upstream is not given its work several times over. Work that certainly did not run is
+ * bounded by the delay alone: it doubles and is jittered over its whole range.
+ */
+export class RetryPolicy {
+  readonly #options: CreateOptions
+  readonly #random: ReturnType<typeof xoroshiro128plus>
+  #budget: number
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+    this.#random = xoroshiro128plus(options.seed)
+    this.#budget = options.maximumBudget
+  }
+
+  static create (options: CreateOptions): RetryPolicy {
+    return new RetryPolicy(options)
+  }
+
+  recordRequest (): void {
+    this.#budget = Math.min(this.#options.maximumBudget, this.#budget + this.#options.budgetRatio)
+  }
+
+  decide ({ attempt, outcome, isRepeatable, isInTransaction, deadline }: RetryRequest, now: number): RetryDecision {
+    if (isInTransaction || (outcome === 'unknown' && !isRepeatable)) return { type: 'fail' }
+    const cost = outcome === 'unknown' ? 1 : 0
+    if (this.#budget < cost) return { type: 'fail' }
+    const delayMs = this.#computeDelay(attempt)
+    if (now + delayMs >= deadline) return { type: 'fail' }
+    this.#budget -= cost
+    return { type: 'retry', delayMs }
+  }
+
+  /** The first retry goes out at once: it goes to another host or database. */
+  #computeDelay (attempt: number): number {
+    if (attempt === 0) return 0
+    const limit = Math.min(this.#options.maximumDelayMs, this.#options.baseDelayMs * 2 ** (attempt - 1))
+    return uniformFloat64(this.#random) * limit
+  }
+}
--- a/packages/errors/src/catalogue/errors-catalogue.ts
+++ b/packages/errors/src/catalogue/errors-catalogue.ts
@@ -155,6 +155,33 @@
     httpStatus: 503,
     outcome: 'not-run'
   },
+  'transaction-failed': {
+    name: 'TransactionFailedError',
+    title: 'The transaction has failed',
+    message: 'The transaction has failed; commands are ignored until its end.',
+    hint: 'Not run. End the transaction with ROLLBACK and start it again.',
+    sqlState: '25P02',
+    httpStatus: 409,
+    outcome: 'not-run'
+  },
+  cancelled: {
+    name: 'CancelledError',
+    title: 'The request was cancelled',
+    message: 'The request was cancelled before it was sent to a database.',
+    hint: 'Not run. Repeat the request if it is still wanted.',
+    sqlState: '57014',
+    httpStatus: 499,
+    outcome: 'not-run'
+  },
+  'session-idle': {
+    name: 'SessionIdleError',
+    title: 'The session was idle for too long',
+    message: 'The session was idle for more than {limitMs} ms.',
+    hint: 'Not run. Connect again.',
+    sqlState: '57P05',
+    httpStatus: 408,
+    outcome: 'not-run'
+  },
   'peer-failed': {
     name: 'PeerFailedError',
     title: 'A peer process did not answer',
