--- /dev/null
+++ b/packages/load/src/measures/measure-worst-served.ts
@@ -0,0 +1,34 @@
+import type { History } from '../history/history.js'
+import { computePercentile } from './compute-percentile.js'
+
+export interface WorstServed {
+  organisation: string
+  /** Completed statements as a share of those that the organisation offered, or was entitled to when it offered more. */
+  share: number
+  p99Ms: number
+}
+
+interface MeasureWorstServedOptions {
+  /** Organisations that exceed their rate on purpose; they are not measured. */
+  except?: string[]
+  fromMs: number
+  untilMs: number
+}
+
+/** Finds the organisation that got the smallest share of its fair rate in the interval, with its 99th percentile. */
+export function measureWorstServed ({ operations, organisations }: History, { except = [], fromMs, untilMs }: MeasureWorstServedOptions): WorstServed | undefined {
+  const seconds = (untilMs - fromMs) / 1000
+  const served = Object.entries(organisations).filter(([name]) => !except.includes(name)).flatMap(([name, { rate, burst }]) => {
+    const offered = operations.filter(({ organisation, startMs }) => organisation === name && startMs >= fromMs && startMs < untilMs)
+    if (offered.length === 0) return []
+    const done = offered.filter(({ outcome }) => outcome === 'run')
+    const fair = Math.min(sumStatements(offered), rate * seconds + burst)
+    const p99Ms = computePercentile(done.map(({ startMs, endMs }) => endMs - startMs), 99)
+    return [{ organisation: name, share: Math.min(1, sumStatements(done) / fair), p99Ms }]
+  })
+  return served.sort((left, right) => left.share - right.share || right.p99Ms - left.p99Ms)[0]
+}
+
+function sumStatements (operations: Array<{ statements: number }>): number {
+  return operations.reduce((sum, { statements }) => sum + statements, 0)
+}
