--- /dev/null
+++ b/packages/load/src/generator/roaming-session.ts
@@ -0,0 +1,191 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import pg from 'pg'
+import type { Operation } from '../history/operation.js'
+import type { SeededRandom } from '../random/seeded-random.js'
+import type { Work } from '../workload/work.js'
+import { classifyFailure } from './classify-failure.js'
+import type { SessionIdentity } from './session-identity.js'
+
+const CONNECT_TIMEOUT_MS = 3000
+/** Longer than the statement deadline of any catalogue entry; ends a wait for an answer that was lost. */
+const ANSWER_TIMEOUT_MS = 20_000
+const REPEATS_MAXIMUM = 8
+const REPEAT_DELAY_MS = 100
+const TOKEN_PARAMETER = 'tanagerusher.session'
+
+export interface EntryAddress {
+  host: string
+  address: string
+  port: number
+}
+
+interface RoamingSessionOptions {
+  identity: SessionIdentity
+  /** Entries that the session may connect to; the list may change during the run. */
+  entries: readonly EntryAddress[]
+  random: SeededRandom
+  clock: Clock
+  /** Share of the moves to another host on which the session presents its token. */
+  tokenShare?: number
+}
+
+type Answer = { outcome: Operation['outcome'], sqlState?: string, message?: string, rows: Array<Record<string, unknown>> }
+
+/** A caller's session that moves between hosts. It owns one `pg` connection at a time. */
+export class RoamingSession {
+  readonly identity: SessionIdentity
+  readonly #entries: readonly EntryAddress[]
+  readonly #random: SeededRandom
+  readonly #clock: Clock
+  readonly #tokenShare: number
+  #client: pg.Client | undefined
+  #entry: EntryAddress | undefined
+  #token: string | undefined
+
+  private constructor ({ identity, entries, random, clock, tokenShare = 0.5 }: RoamingSessionOptions) {
+    this.identity = identity
+    this.#entries = entries
+    this.#random = random
+    this.#clock = clock
+    this.#tokenShare = tokenShare
+  }
+
+  static create (options: RoamingSessionOptions): RoamingSession {
+    return new RoamingSession(options)
+  }
+
+  /** Sends the work and records what came of it. `dueMs` is when an open loop wanted to send it. */
+  async run (work: Work, id: string, dueMs?: number): Promise<Operation> {
+    const startMs = this.#clock.readTime()
+    let answer = await this.#attempt(work)
+    for (let repeat = 0; this.#mayRepeat(work, answer) && repeat < REPEATS_MAXIMUM; repeat++) {
+      await new Promise((resolve) => { setTimeout(resolve, REPEAT_DELAY_MS * (repeat + 1)) })
+      const next = await this.#attempt(work)
+      if (next.outcome === 'run') answer = next
+    }
+    return this.#describe({ work, answer, id, startMs, dueMs })
+  }
+
+  /** Leaves the host; the next work connects to one chosen at random. */
+  async move (): Promise<void> {
+    const client = this.#client
+    this.#client = undefined
+    await client?.end().catch(() => {})
+  }
+
+  async close (): Promise<void> {
+    await this.move()
+  }
+
+  #mayRepeat (work: Work, answer: Answer): boolean {
+    return answer.outcome === 'unknown' && work.idempotencyKey !== undefined
+  }
+
+  async #attempt (work: Work): Promise<Answer> {
+    let sent = false
+    try {
+      const client = await this.#connect()
+      sent = true
+      return work.kind === 'transaction' ? await this.#runTransaction(client, work) : await this.#runStatement(client, work)
+    } catch (error) {
+      this.#dropBroken(error)
+      return { ...classifyFailure(error, sent), rows: [] }
+    }
+  }
+
+  async #runStatement (client: pg.Client, work: Work): Promise<Answer> {
+    const statement = work.statements[0] as Work['statements'][number]
+    const result = await client.query(formatStatement(statement.text, work.idempotencyKey), statement.values)
+    return { outcome: 'run', rows: result.rows }
+  }
+
+  /** A transaction whose COMMIT was not sent did not run, whatever the error of an earlier statement says. */
+  async #runTransaction (client: pg.Client, work: Work): Promise<Answer> {
+    const last = work.statements.length - 1
+    let rows: Answer['rows'] = []
+    for (const [index, { text, values }] of work.statements.entries()) {
+      try {
+        const result = await client.query(text, values)
+        if (result.rows.length > 0) rows = result.rows
+        if (index === last && !work.rollback && result.command !== 'COMMIT') return { outcome: 'not-run', message: `COMMIT ended as ${result.command}`, rows: [] }
+      } catch (error) {
+        this.#dropBroken(error)
+        const failure = classifyFailure(error, index === last && !work.rollback)
+        if (this.#client === client && index < last) await client.query('ROLLBACK').catch((cause: unknown) => { this.#dropBroken(cause) })
+        return { ...failure, rows: [] }
+      }
+    }
+    return { outcome: 'run', rows }
+  }
+
+  async #connect (): Promise<pg.Client> {
+    if (this.#client !== undefined) return this.#client
+    const entry = this.#random.choose(this.#entries)
+    const withToken = this.#token !== undefined && this.#random.takeChance(this.#tokenShare)
+    const client = new pg.Client({
+      host: entry.address,
+      port: entry.port,
+      user: this.identity.organisation,
+      password: this.identity.password,
+      database: this.identity.entry,
+      connectionTimeoutMillis: CONNECT_TIMEOUT_MS,
+      query_timeout: ANSWER_TIMEOUT_MS,
+      ...(withToken ? { options: `-c ${TOKEN_PARAMETER}=${this.#token}` } : {})
+    })
+    this.#entry = entry
+    client.on('error', () => { this.#drop(client) })
+    client.on('end', () => { this.#drop(client) })
+    const { connection } = client as unknown as { connection: NodeJS.EventEmitter }
+    connection.on('parameterStatus', (message: { parameterName: string, parameterValue: string }) => {
+      if (message.parameterName === TOKEN_PARAMETER) this.#token = message.parameterValue
+    })
+    await client.connect()
+    this.#client = client
+    return client
+  }
+
+  /** Errors without SQLSTATE, and those that end a session, leave the connection unusable. */
+  #dropBroken (error: unknown): void {
+    const { code, severity } = error as { code?: string, severity?: string }
+    if (code !== undefined && severity !== 'FATAL' && /^[0-9A-Z]{5}$/.test(code)) return
+    const client = this.#client
+    this.#client = undefined
+    void client?.end().catch(() => {})
+  }
+
+  #drop (client: pg.Client): void {
+    if (this.#client === client) this.#client = undefined
+  }
+
+  #describe ({ work, answer, id, startMs, dueMs }: { work: Work, answer: Answer, id: string, startMs: number, dueMs: number | undefined }): Operation {
+    const { session, organisation, keyName, entry, group } = this.identity
+    const { rows, ...told } = answer
+    const foreign = rows.find((row) => work.kind === 'read' && row['session'] !== session)
+    const answered = foreign === undefined ? rows[0]?.['marker'] : `row of session ${String(foreign['session'])}`
+    const checkable = answer.outcome === 'run' && answered !== undefined
+    return {
+      id,
+      session,
+      organisation,
+      key: keyName,
+      host: this.#entry?.host ?? 'none',
+      entry,
+      group,
+      kind: work.kind,
+      startMs,
+      endMs: this.#clock.readTime(),
+      ...(dueMs === undefined ? {} : { dueMs }),
+      ...told,
+      statements: work.kind === 'transaction' ? work.writes.length : 1,
+      writes: work.writes,
+      rolledBack: work.rollback,
+      acceptsStale: false,
+      ...(work.kind === 'read' && answer.outcome === 'run' ? { observed: rows.map((row) => String(row['id'])) } : {}),
+      ...(checkable ? { marker: work.marker, answerMarker: String(answered) } : {})
+    }
+  }
+}
+
+function formatStatement (text: string, idempotencyKey: string | undefined): string {
+  return idempotencyKey === undefined ? text : `${text} /*idempotency_key='${encodeURIComponent(idempotencyKey)}'*/`
+}
--- a/packages/load/src/history/operation.ts
+++ b/packages/load/src/history/operation.ts
@@ -16,6 +16,8 @@
   kind: z.enum(['read', 'write', 'transaction']),
   startMs: z.number(),
   endMs: z.number(),
+  /** When an open loop wanted to send the work; latency counts from here. */
+  dueMs: z.number().optional(),
   outcome: z.enum(['run', 'not-run', 'unknown']),
   sqlState: z.string().optional(),
   message: z.string().optional(),
--- a/packages/load/src/measures/measure-worst-served.ts
+++ b/packages/load/src/measures/measure-worst-served.ts
@@ -23,7 +23,7 @@
     if (offered.length === 0) return []
     const done = offered.filter(({ outcome }) => outcome === 'run')
     const fair = Math.min(sumStatements(offered), rate * seconds + burst)
-    const p99Ms = computePercentile(done.map(({ startMs, endMs }) => endMs - startMs), 99)
+    const p99Ms = computePercentile(done.map(({ dueMs, startMs, endMs }) => endMs - (dueMs ?? startMs)), 99)
     return [{ organisation: name, share: Math.min(1, sumStatements(done) / fair), p99Ms }]
   })
   return served.sort((left, right) => left.share - right.share || right.p99Ms - left.p99Ms)[0]
--- /dev/null
+++ b/packages/load/src/workload/build-work.ts
@@ -0,0 +1,43 @@
+import type { SeededRandom } from '../random/seeded-random.js'
+import type { Work } from './work.js'
+import type { CallerClass } from './workload.js'
+
+const ROLLBACK_SHARE = 0.2
+const TRANSACTION_ROWS = 2
+const MAXIMUM_FIGURE = 500
+
+interface BuildWorkOptions {
+  callerClass: CallerClass
+  session: string
+  /** Identifier that no other work of the run has. */
+  id: string
+  random: SeededRandom
+}
+
+/** Builds the next piece of work of a caller. Every inserted row carries its own identifier and its session. */
+export function buildWork ({ callerClass, session, id, random }: BuildWorkOptions): Work {
+  const draw = random.takeFraction()
+  if (draw < callerClass.readShare) return buildRead(callerClass, session, id)
+  if (draw < callerClass.readShare + callerClass.transactionShare) return buildTransaction(callerClass, session, id, random)
+  const insert = buildInsert(callerClass, session, id, random)
+  const idempotent = random.takeChance(callerClass.idempotentShare)
+  return { kind: 'write', statements: [insert], writes: [id], rollback: false, marker: id, ...(idempotent ? { idempotencyKey: id } : {}) }
+}
+
+function buildRead ({ table }: CallerClass, session: string, id: string): Work {
+  const text = `SELECT id, session, '${id}' AS marker FROM ${table} WHERE session = $1`
+  return { kind: 'read', statements: [{ text, values: [session] }], writes: [], rollback: false, marker: id }
+}
+
+function buildTransaction (callerClass: CallerClass, session: string, id: string, random: SeededRandom): Work {
+  const rollback = random.takeChance(ROLLBACK_SHARE)
+  const writes = Array.from({ length: TRANSACTION_ROWS }, (_, index) => `${id}.${index}`)
+  const inserts = writes.map((row) => buildInsert(callerClass, session, row, random))
+  const statements = [{ text: 'BEGIN', values: [] }, ...inserts, { text: rollback ? 'ROLLBACK' : 'COMMIT', values: [] }]
+  return { kind: 'transaction', statements, writes, rollback, marker: writes[writes.length - 1] as string }
+}
+
+function buildInsert ({ table, column }: CallerClass, session: string, id: string, random: SeededRandom): Work['statements'][number] {
+  const text = `INSERT INTO ${table} (id, session, ${column}) VALUES ($1, $2, $3) RETURNING id AS marker`
+  return { text, values: [id, session, random.takeInteger(1, MAXIMUM_FIGURE)] }
+}
