--- /dev/null
+++ b/packages/load/src/replay/trace.ts
@@ -0,0 +1,10 @@
+import type { TraceLine } from './trace-line.js'
+
+export type TraceEvent = Extract<TraceLine, { atMs: number }>
+
+/** A parsed trace: what happens, in order of time, and the outcomes that must hold. */
+export interface Trace {
+  header: Extract<TraceLine, { type: 'trace' }>
+  events: TraceEvent[]
+  expectations: Array<Extract<TraceLine, { type: 'expect' }>>
+}
