--- a/packages/coordination/src/common/database-group.ts
+++ b/packages/coordination/src/common/database-group.ts
@@ -14,8 +14,8 @@
 export interface DatabaseGroup {
   /** Reads the status of a member. */
   readStatus(database: string): Promise<DatabaseStatus>
-  /** Answers when the member's log or promised term differs from `known`, at the latest after `timeoutMs`. */
-  waitForChange(database: string, known: Position, timeoutMs: number): Promise<DatabaseStatus>
+  /** Answers when the member's log differs from `known` or its promised term from `knownPromise`, at the latest after `timeoutMs`. */
+  waitForChange(database: string, known: Position, timeoutMs: number, knownPromise?: number): Promise<DatabaseStatus>
   /** Makes the member refuse everything of lower terms. Granted only when `term` is higher than any promised before. */
   raiseTerm(database: string, term: number): Promise<RaiseTermAnswer>
   /** Makes the member the primary of `term`. Refused unless it has promised exactly this term. */
--- a/packages/coordination/src/failover/group-monitor.ts
+++ b/packages/coordination/src/failover/group-monitor.ts
@@ -50,6 +50,8 @@
   #suspectedAt: number | undefined
   #promoting = false
   #notBefore = 0
+  /** Since when the highest known term has no working primary, and which term that is. */
+  #unsettled: { term: number, since: number } | undefined
 
   private constructor ({ members, rank, now, suspectAfterMs = SUSPECT_AFTER_MS, rankDelayMs = RANK_DELAY_MS }: CreateOptions) {
     this.#rank = rank
@@ -135,10 +137,9 @@
     const primary = this.findPrimary()
     const statuses = this.#listStatuses()
     if (statuses.length === 0) return undefined
-    if (primary === undefined) return this.#isMajorityFresh(now) ? 'no member is primary' : undefined
+    if (this.#isUnsettled(primary, now)) return 'a term was raised and nobody became its primary'
+    if (primary === undefined) return undefined
     const fresh = this.#listFresh(now).filter(({ database }) => database !== primary.database)
-    const isFenced = fresh.some(({ promisedTerm }) => promisedTerm > primary.log.term) || primary.promisedTerm > primary.log.term
-    if (isFenced) return 'the primary was fenced and no other was promoted'
     const member = this.#members.get(primary.database) as Member
     if (member.refusedAt !== undefined && fresh.length > 0) return 'the primary refuses connections'
     if (now - member.heardAt < this.#suspectAfterMs) return undefined
@@ -146,8 +147,19 @@
     return confirming ? 'the primary is silent here and at a replica' : undefined
   }
 
-  #isMajorityFresh (now: number): boolean {
-    return this.#listFresh(now).length * 2 > this.#members.size
+  /**
+   * Whether a candidate raised the term and then stopped. Another candidate gets the time of a whole attempt first, and
+   * again whenever the term rises, so that candidates do not outbid each other.
+   */
+  #isUnsettled (primary: DatabaseStatus | undefined, now: number): boolean {
+    const fresh = this.#listFresh(now)
+    const term = Math.max(0, ...fresh.map(({ promisedTerm }) => promisedTerm))
+    if (term === 0 || (primary !== undefined && primary.log.term >= term && primary.promisedTerm === primary.log.term)) {
+      this.#unsettled = undefined
+      return false
+    }
+    if (this.#unsettled?.term !== term) this.#unsettled = { term, since: now }
+    return now - this.#unsettled.since >= this.#suspectAfterMs && fresh.length * 2 > this.#members.size
   }
 
   #listFresh (now: number): DatabaseStatus[] {
--- a/packages/pool/src/database/run-idempotent.ts
+++ b/packages/pool/src/database/run-idempotent.ts
@@ -4,6 +4,8 @@
 import { Idempotency, type IdempotencyRecord } from '@tanagerusher/coordination/outcome/idempotency'
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import type { ExecuteParams } from '@tanagerusher/protocol/peer/execute'
+import { encodeErrorResponse } from '../upstream/encode-error-response.js'
+import type { ErrorFields } from '../upstream/read-error-fields.js'
 import { RowCollector, type CollectedRows } from '../upstream/row-collector.js'
 import { decodeDatabaseStatus } from '../upstream/decode-database-status.js'
 import type { PooledConnection } from './pooled-connection.js'
@@ -67,20 +69,30 @@
   const { connection } = work
   const isRecorded = outcome.frames.length <= Idempotency.maximumResponseBytes
   const updated = isRecorded
-    ? query(connection, `UPDATE tanagerusher_request SET response = '${outcome.frames.toString('base64')}' WHERE idempotency_key = ${work.key}`)
+    ? query(connection, `UPDATE tanagerusher_request SET response = '${outcome.frames.toString('base64')}' WHERE id = ${work.key}`)
     : undefined
   const committing = query(connection, 'COMMIT')
   const status = await readStatus(connection)
   await updated
   const committed = await committing
-  if (committed.error !== undefined || committed.status !== 'I') throw new Error(committed.error?.text ?? 'the commit failed')
+  if (committed.error !== undefined) return await handleFailedCommit(work, outcome, committed.error)
   return { ...outcome, status: 'I', databaseStatus: status }
 }
 
+/** A failed commit has run nothing. When the same work of another connection won the race, its answer is given. */
+async function handleFailedCommit (work: Work, outcome: StatementOutcome, error: ErrorFields): Promise<StatementOutcome> {
+  const record = await readRecord(work)
+  if (record !== undefined) return await answerFromRecord(work, record)
+  return { ...outcome, frames: encodeErrorResponse(error), status: 'I', tags: [], error, isRejected: true }
+}
+
 /** The key exists: ends the failed transaction and answers from the record. */
 async function repeat (work: Work): Promise<StatementOutcome> {
   await query(work.connection, 'ROLLBACK')
-  const record = await findRecord(work)
+  return await answerFromRecord(work, await findRecord(work))
+}
+
+async function answerFromRecord (work: Work, record: IdempotencyRecord | undefined): Promise<StatementOutcome> {
   const isTransaction = work.params.transaction === 'begin'
   const decision = record === undefined ? undefined : work.idempotency.decide({ record, digest: work.digest, isTransaction })
   const details = { idempotencyKey: work.params.idempotencyKey }
@@ -93,16 +105,22 @@
 }
 
 /** The first request may still be under way; its record becomes visible when it commits. */
-async function findRecord ({ connection, key, deadline, clock }: Work): Promise<IdempotencyRecord | undefined> {
+async function findRecord (work: Work): Promise<IdempotencyRecord | undefined> {
   do {
-    const { rows: [row], error } = await query(connection, `SELECT digest, response FROM tanagerusher_request WHERE idempotency_key = ${key}`)
-    if (error !== undefined) throw new Error(error.text)
-    if (row !== undefined) return { digest: String(row.digest), response: row.response == null ? null : Buffer.from(row.response, 'base64') }
+    const record = await readRecord(work)
+    if (record !== undefined) return record
     await wait(RECORD_WAIT_MS)
-  } while (clock.readTime() < deadline)
+  } while (work.clock.readTime() < work.deadline)
   return undefined
 }
 
+async function readRecord ({ connection, key }: Work): Promise<IdempotencyRecord | undefined> {
+  const { rows: [row], error } = await query(connection, `SELECT fingerprint, response FROM tanagerusher_request WHERE id = ${key}`)
+  if (error !== undefined) throw new Error(error.text)
+  if (row === undefined) return undefined
+  return { digest: String(row.fingerprint), response: row.response == null ? null : Buffer.from(row.response, 'base64') }
+}
+
 const emptyResult: Omit<RelayedResult, 'frames'> = { chunks: 0, status: 'I', tags: [], error: undefined, isRejected: false, hasParameterStatus: false }
 
 async function run ({ connection, params }: Work): Promise<StatementOutcome> {
@@ -115,8 +133,8 @@
   return rows[0] === undefined ? undefined : decodeDatabaseStatus(rows[0])
 }
 
-function buildInsert ({ key, digest }: Work): string {
-  return `INSERT INTO tanagerusher_request (idempotency_key, digest) VALUES (${key}, '${digest}')`
+function buildInsert ({ key, digest, params }: Work): string {
+  return `INSERT INTO tanagerusher_request (id, organisation, fingerprint) VALUES (${key}, ${quote(params.organisation)}, '${digest}')`
 }
 
 function quote (text: string): string {
--- a/packages/pool/src/group/member-watch.ts
+++ b/packages/pool/src/group/member-watch.ts
@@ -69,7 +69,7 @@
     while (!this.#isClosed) {
       const askedAt = this.#options.clock.readTime()
       try {
-        const status = await this.#options.databases.waitForChange(this.#options.database, this.#status?.log ?? NOTHING_KNOWN, POLL_MS)
+        const status = await this.#options.databases.waitForChange(this.#options.database, this.#status?.log ?? NOTHING_KNOWN, POLL_MS, this.#status?.promisedTerm)
         if (this.#isClosed) return
         this.observe(status, askedAt)
         if (!this.#options.needsHaste()) await this.#pause(IDLE_PAUSE_MS)
--- a/packages/pool/src/process/task-registry.ts
+++ b/packages/pool/src/process/task-registry.ts
@@ -23,6 +23,8 @@
 
 /** Unowned tasks serve requests that came here after a change of owner; they end when nobody uses them. */
 const UNUSED_LIMIT_MS = 30_000
+/** Databases keep connections in reserve for this name, so that a full database can still be watched and promoted. */
+const CONTROL_APPLICATION_NAME = 'tanagerusher-control'
 
 /** The tasks of groups and databases that this pool runs, kept in step with configuration and ownership. */
 export class TaskRegistry {
@@ -122,7 +124,7 @@
       clock,
       logger,
       seed,
-      databases: SqlDatabaseGroup.create({ group, applicationName: `tanagerusher-pool ${settings.host} control` }),
+      databases: SqlDatabaseGroup.create({ group, applicationName: CONTROL_APPLICATION_NAME }),
       suspectAfterMs: settings.suspectAfterMs,
       rankDelayMs: settings.promotionDelayMs,
       readLoad: (database) => this.#databases.get(`${name}/${database}`)?.load ?? 0,
--- a/packages/pool/src/upstream/sql-database-group.ts
+++ b/packages/pool/src/upstream/sql-database-group.ts
@@ -53,8 +53,9 @@
     return decodeDatabaseStatus((await this.#run(database, 'call', 'SELECT * FROM platform_status()'))[0])
   }
 
-  async waitForChange (database: string, known: Position, timeoutMs: number): Promise<DatabaseStatus> {
-    const text = `SELECT * FROM platform_wait(${known.term}, ${known.position}, ${Math.round(timeoutMs)})`
+  async waitForChange (database: string, known: Position, timeoutMs: number, knownPromise?: number): Promise<DatabaseStatus> {
+    const promise = knownPromise === undefined ? '' : `, ${knownPromise}`
+    const text = `SELECT * FROM platform_wait(${known.term}, ${known.position}, ${Math.round(timeoutMs)}${promise})`
     return decodeDatabaseStatus((await this.#run(database, 'watch', text, timeoutMs))[0])
   }
 
