--- a/packages/coordination/src/fairness/fair-queue.ts
+++ b/packages/coordination/src/fairness/fair-queue.ts
@@ -26,6 +26,7 @@
   virtualStart: number
   /** Mean slot time of its requests, in ms. */
   meanCostMs: number
+  finished: number
   queues: Map<ServiceClass, Waiting[]>
   waiting: number
 }
@@ -104,7 +105,8 @@
     this.#charged.delete(id)
     if (charged === undefined || flow === undefined) return
     flow.virtualStart += (costMs - charged) / flow.weight
-    flow.meanCostMs += (costMs - flow.meanCostMs) * COST_SMOOTHING
+    // The first statements weigh fully, so that an organisation with long ones is recognised at once.
+    flow.meanCostMs += (costMs - flow.meanCostMs) * Math.max(COST_SMOOTHING, 1 / ++flow.finished)
   }
 
   /** Removes a request that waits; false when it does not wait any more. */
@@ -138,7 +140,7 @@
       return known
     }
     if (this.#flows.size >= MAX_IDLE_FLOWS) this.#forgetIdleFlows()
-    const flow = { organisation, weight, virtualStart: this.#virtualTime, meanCostMs: INITIAL_COST_MS, queues: new Map(), waiting: 0 }
+    const flow = { organisation, weight, virtualStart: this.#virtualTime, meanCostMs: INITIAL_COST_MS, finished: 0, queues: new Map(), waiting: 0 }
     this.#flows.set(organisation, flow)
     return flow
   }
--- a/packages/coordination/src/fairness/slot-scheduler.ts
+++ b/packages/coordination/src/fairness/slot-scheduler.ts
@@ -74,10 +74,15 @@
   resume (): void { this.#paused = false }
 
   #isEligible (organisation: string, meanCostMs: number, now: number): boolean {
-    if (meanCostMs < LONG_STATEMENT_MS || this.#slots === 1 || !this.#isOtherActive(organisation, now)) return true
+    if (this.#slots === 1) return true
     let held = 0
-    for (const holder of this.#holders.values()) if (holder.organisation === organisation) held++
-    return held < this.#slots - 1
+    let longestMs = meanCostMs
+    for (const holder of this.#holders.values()) {
+      if (holder.organisation !== organisation) continue
+      held++
+      longestMs = Math.max(longestMs, now - holder.startedAt)
+    }
+    return held < this.#slots - 1 || longestMs < LONG_STATEMENT_MS || !this.#isOtherActive(organisation, now)
   }
 
   #isOtherActive (organisation: string, now: number): boolean {
