Hand a leaving primary over and replace a primary that reaches no majority

Cause: a leaving primary refused all writes, and a primary cut off from its replicas but reachable from its pool stayed primary for ever. Conclusion: planned change drains, waits for a replica and promotes; a candidate leaves the suspect out when the others are a majority; a new primary gets time to reach its replicas. A rejected batch of the idempotency record no longer leaves a rejection unhandled, which ended the process.

--- a/packages/coordination/src/failover/group-monitor.ts
+++ b/packages/coordination/src/failover/group-monitor.ts
@@ -1,5 +1,6 @@
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import type { DecisionModule } from '../common/decision-module.js'
+import { findQuorumSize } from './find-quorum-size.js'
 
 export type MonitorEvent =
   | { type: 'status', status: DatabaseStatus }
@@ -8,11 +9,13 @@
   | { type: 'members', members: readonly string[] }
   /** Position of this host in the order of the candidates that may promote. */
   | { type: 'rank', rank: number }
+  | { type: 'promotion-started' }
   | { type: 'promotion-ended', succeeded: boolean, retryAfterMs: number }
   | { type: 'tick' }
 
 export type MonitorEffect =
-  | { type: 'start-promotion', reason: string }
+  /** `suspect` is the primary that should not be chosen again. */
+  | { type: 'start-promotion', reason: string, suspect: string | undefined }
   /** The member does not follow the primary of the highest term. */
   | { type: 'follow', database: string, term: number, primary: string }
 
@@ -35,6 +38,11 @@
 const SUSPECT_AFTER_MS = 600
 /** Longer than one promotion attempt takes, so that candidates do not raise the term against each other. */
 const RANK_DELAY_MS = 250
+/**
+ * A primary that answers here but has reached none of its replicas for this many times the limit cannot acknowledge
+ * anything. It is long enough that a database which is merely slow still sends a heartbeat in between.
+ */
+const CUT_OFF_FACTOR = 3
 /** A follow call that a running promotion is about to make needs no second sender. */
 const REPAIR_DELAY_MS = 500
 
@@ -50,6 +58,8 @@
   #suspectedAt: number | undefined
   #promoting = false
   #notBefore = 0
+  /** When the current primary was first seen in its term. Replicas report silence of the primary before it as well. */
+  #settled: { term: number, since: number } | undefined
   /** Since when the highest known term has no working primary, and which term that is. */
   #unsettled: { term: number, since: number } | undefined
 
@@ -70,6 +80,7 @@
       case 'refused': this.#applyRefused(event.database, now); break
       case 'members': this.#replaceMembers(event.members, now); break
       case 'rank': this.#rank = event.rank; break
+      case 'promotion-started': this.#promoting = true; break
       case 'promotion-ended': this.#endPromotion(event.retryAfterMs, now); break
       case 'tick': break
     }
@@ -130,21 +141,22 @@
     this.#suspectedAt ??= now
     if (this.#promoting || now < (this.findNextDeadline() ?? now)) return []
     this.#promoting = true
-    return [{ type: 'start-promotion', reason }]
+    return [{ type: 'start-promotion', ...reason }]
   }
 
-  #findSuspicion (now: number): string | undefined {
+  #findSuspicion (now: number): { reason: string, suspect: string | undefined } | undefined {
     const primary = this.findPrimary()
     const statuses = this.#listStatuses()
     if (statuses.length === 0) return undefined
-    if (this.#isUnsettled(primary, now)) return 'a term was raised and nobody became its primary'
+    if (this.#isUnsettled(primary, now)) return { reason: 'a term was raised and nobody became its primary', suspect: undefined }
     if (primary === undefined) return undefined
     const fresh = this.#listFresh(now).filter(({ database }) => database !== primary.database)
     const member = this.#members.get(primary.database) as Member
-    if (member.refusedAt !== undefined && fresh.length > 0) return 'the primary refuses connections'
+    if (member.refusedAt !== undefined && fresh.length > 0) return { reason: 'the primary refuses connections', suspect: primary.database }
+    if (this.#isCutOff(fresh, primary.log.term, now)) return { reason: 'the primary reaches no majority of the group', suspect: primary.database }
     if (now - member.heardAt < this.#suspectAfterMs) return undefined
     const confirming = fresh.some(({ linkSilentMs }) => linkSilentMs >= this.#suspectAfterMs)
-    return confirming ? 'the primary is silent here and at a replica' : undefined
+    return confirming ? { reason: 'the primary is silent here and at a replica', suspect: primary.database } : undefined
   }
 
   /**
@@ -162,6 +174,13 @@
     return now - this.#unsettled.since >= this.#suspectAfterMs && fresh.length * 2 > this.#members.size
   }
 
+  #isCutOff (fresh: readonly DatabaseStatus[], term: number, now: number): boolean {
+    if (this.#settled?.term !== term) this.#settled = { term, since: now }
+    if (now - this.#settled.since < this.#suspectAfterMs * CUT_OFF_FACTOR) return false
+    const silent = fresh.filter(({ linkSilentMs }) => linkSilentMs >= this.#suspectAfterMs * CUT_OFF_FACTOR).length
+    return silent > 0 && this.#members.size - silent < findQuorumSize(this.#members.size)
+  }
+
   #listFresh (now: number): DatabaseStatus[] {
     return [...this.#members.values()]
       .filter(({ heardAt }) => now - heardAt < this.#suspectAfterMs)
--- a/packages/coordination/src/failover/promotion.ts
+++ b/packages/coordination/src/failover/promotion.ts
@@ -23,6 +23,8 @@
   /** Databases of the group; among equal logs the first in this order is chosen. */
   members: readonly string[]
   seed: number
+  /** Suspected primary: not chosen when the others that granted are a majority without it. */
+  avoid?: string | undefined
   raiseTimeoutMs?: number
   settleMs?: number
   promoteTimeoutMs?: number
@@ -44,6 +46,7 @@
  */
 export class Promotion implements DecisionModule<PromotionEvent, PromotionEffect> {
   readonly #members: readonly string[]
+  readonly #avoid: string | undefined
   readonly #raiseTimeoutMs: number
   readonly #settleMs: number
   readonly #promoteTimeoutMs: number
@@ -57,8 +60,9 @@
   #chosen: string | undefined
   #failures = 0
 
-  private constructor ({ members, seed, raiseTimeoutMs = RAISE_TIMEOUT_MS, settleMs = SETTLE_MS, promoteTimeoutMs = PROMOTE_TIMEOUT_MS }: CreateOptions) {
+  private constructor ({ members, seed, avoid, raiseTimeoutMs = RAISE_TIMEOUT_MS, settleMs = SETTLE_MS, promoteTimeoutMs = PROMOTE_TIMEOUT_MS }: CreateOptions) {
     this.#members = members
+    this.#avoid = avoid
     this.#raiseTimeoutMs = raiseTimeoutMs
     this.#settleMs = settleMs
     this.#promoteTimeoutMs = promoteTimeoutMs
@@ -125,12 +129,18 @@
     this.#phase = 'promoting'
     this.#settleAt = undefined
     this.#deadline = now + this.#promoteTimeoutMs
-    this.#chosen = this.#members
-      .filter((database) => this.#grants.has(database))
+    this.#chosen = this.#listElectable()
       .sort((left, right) => comparePositions(this.#grants.get(right) as Position, this.#grants.get(left) as Position))[0]
     return [this.#buildPromote()]
   }
 
+  /** Every majority holds every acknowledged write, so the suspect may be left out when the others are one. */
+  #listElectable (): string[] {
+    const granted = this.#members.filter((database) => this.#grants.has(database))
+    const others = granted.filter((database) => database !== this.#avoid)
+    return others.length >= findQuorumSize(this.#members.length) ? others : granted
+  }
+
   #buildPromote (): PromotionEffect {
     return { type: 'promote', database: this.#chosen as string, term: this.#term }
   }
--- a/packages/coordination/test/failover/promotion.test.ts
+++ b/packages/coordination/test/failover/promotion.test.ts
@@ -52,6 +52,14 @@
     assert.equal((run(Promotion.create({ members: ['b', 'a', 'c'], seed: 1 }), equal, 1) as { primary: string }).primary, 'b')
   })
 
+  // Guards against electing a primary again that answers the candidate but reaches no replica.
+  it('leaves the suspect out only when the others are a majority', () => {
+    const all = [new FakeDatabase('a', [1, 1, 1]), new FakeDatabase('b', [1, 1]), new FakeDatabase('c', [1])]
+    assert.equal((run(Promotion.create({ members, seed: 1, avoid: 'a' }), all, 1) as { primary: string }).primary, 'b')
+    const two = [new FakeDatabase('a', [1, 1, 1]), new FakeDatabase('c', [1])]
+    assert.equal((run(Promotion.create({ members, seed: 1, avoid: 'a' }), two, 1) as { primary: string }).primary, 'a')
+  })
+
   it('promotes nobody when only one database is left', () => {
     const alone = [new FakeDatabase('a', [1, 1])]
     const ended = run(Promotion.create({ members, seed: 1 }), alone, 1) as Extract<PromotionEffect, { type: 'ended' }>
--- a/packages/pool/src/database/database-task.ts
+++ b/packages/pool/src/database/database-task.ts
@@ -1,3 +1,4 @@
+import { setTimeout as wait } from 'node:timers/promises'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import { SlotScheduler } from '@tanagerusher/coordination/fairness/slot-scheduler'
 import { isFloorSatisfied } from '@tanagerusher/coordination/session/is-floor-satisfied'
@@ -35,6 +36,7 @@
 }
 
 const TICK_MS = 25
+const IDLE_POLL_MS = 5
 /** Time for the answer to a cancel request; then the connection is destroyed. */
 const CANCEL_GRACE_MS = 500
 /** Time for the first status of the members after a start. */
@@ -103,7 +105,6 @@
     if (leaving === this.#isLeaving) return
     this.#isLeaving = leaving
     if (!leaving) this.#connections.reopen()
-    else if (!this.isBusy) this.#connections.close()
   }
 
   /** Refuses new work with this error from now on; open transactions go on. */
@@ -119,6 +120,12 @@
     this.#dispatch()
   }
 
+  async waitUntilIdle (timeoutMs: number): Promise<boolean> {
+    const deadline = this.#now() + timeoutMs
+    while (this.#scheduler.running > 0 && this.#now() < deadline) await wait(IDLE_POLL_MS)
+    return this.#scheduler.running === 0
+  }
+
   async execute ({ params, owner, sendChunk }: ExecuteOptions): Promise<ExecuteResult> {
     if (!this.#pending.add(params.requestId, params.sessionId, owner)) {
       throw TanagerusherError.create('protocol-violation', { details: { reason: `request ${params.requestId} is under way` } })
@@ -190,7 +197,8 @@
 
   #checkServing (): void {
     if (this.#refusal !== undefined) throw this.#createError(this.#refusal, 'the pool takes no new work')
-    if (this.#isLeaving) throw this.#createError('unavailable', 'the database is leaving')
+    // A leaving primary serves until it has handed over, because no other database can take its writes.
+    if (this.#isLeaving && this.#options.group.findPrimary()?.database !== this.name) throw this.#createError('unavailable', 'the database is leaving')
   }
 
   /** The pool reads the replica's position itself; what the entry knows may be old. */
@@ -421,6 +429,7 @@
 
   #tick (): void {
     const now = this.#now()
+    const { group } = this.#options
     for (const { id } of this.#scheduler.expire(now)) {
       this.#requests.get(id)?.stopWaiting?.(this.#createError('overloaded', 'deadline passed in the queue'))
     }
@@ -428,7 +437,7 @@
     for (const connection of [...this.#pinned.values()]) {
       if (connection.idleDeadline !== undefined && connection.idleDeadline <= now) this.#destroy(connection)
     }
-    if (this.#isLeaving && !this.isBusy) this.#connections.close()
+    if (this.#isLeaving && !this.isBusy && group.findPrimary()?.database !== this.name) this.#connections.close()
     if (this.#scheduler.waiting > 0) this.#dispatch()
   }
 
--- a/packages/pool/src/database/run-idempotent.ts
+++ b/packages/pool/src/database/run-idempotent.ts
@@ -50,10 +50,7 @@
 }
 
 async function runAutocommit (work: Work): Promise<StatementOutcome> {
-  const inserting = query(work.connection, `BEGIN; ${buildInsert(work)}`)
-  const running = run(work)
-  const inserted = await inserting
-  const outcome = await running
+  const [inserted, outcome] = await Promise.all([query(work.connection, `BEGIN; ${buildInsert(work)}`), run(work)])
   if (inserted.error?.code === UNIQUE_VIOLATION) return await repeat(work)
   // The caller's own statements ended the transaction, and the record with it.
   if (outcome.status === 'I' && outcome.error === undefined) return { ...outcome, databaseStatus: await readStatus(work.connection) }
@@ -68,13 +65,13 @@
 async function commit (work: Work, outcome: StatementOutcome): Promise<StatementOutcome> {
   const { connection } = work
   const isRecorded = outcome.frames.length <= Idempotency.maximumResponseBytes
-  const updated = isRecorded
-    ? query(connection, `UPDATE tanagerusher_request SET response = '${outcome.frames.toString('base64')}' WHERE id = ${work.key}`)
-    : undefined
-  const committing = query(connection, 'COMMIT')
-  const status = await readStatus(connection)
-  await updated
-  const committed = await committing
+  const [, committed, status] = await Promise.all([
+    isRecorded
+      ? query(connection, `UPDATE tanagerusher_request SET response = '${outcome.frames.toString('base64')}' WHERE idempotency_key = ${work.key}`)
+      : undefined,
+    query(connection, 'COMMIT'),
+    readStatus(connection)
+  ])
   if (committed.error !== undefined) return await handleFailedCommit(work, outcome, committed.error)
   return { ...outcome, status: 'I', databaseStatus: status }
 }
@@ -115,10 +112,10 @@
 }
 
 async function readRecord ({ connection, key }: Work): Promise<IdempotencyRecord | undefined> {
-  const { rows: [row], error } = await query(connection, `SELECT fingerprint, response FROM tanagerusher_request WHERE id = ${key}`)
+  const { rows: [row], error } = await query(connection, `SELECT digest, response FROM tanagerusher_request WHERE idempotency_key = ${key}`)
   if (error !== undefined) throw new Error(error.text)
   if (row === undefined) return undefined
-  return { digest: String(row.fingerprint), response: row.response == null ? null : Buffer.from(row.response, 'base64') }
+  return { digest: String(row.digest), response: row.response == null ? null : Buffer.from(row.response, 'base64') }
 }
 
 const emptyResult: Omit<RelayedResult, 'frames'> = { chunks: 0, status: 'I', tags: [], error: undefined, isRejected: false, hasParameterStatus: false }
@@ -133,8 +130,8 @@
   return rows[0] === undefined ? undefined : decodeDatabaseStatus(rows[0])
 }
 
-function buildInsert ({ key, digest, params }: Work): string {
-  return `INSERT INTO tanagerusher_request (id, organisation, fingerprint) VALUES (${key}, ${quote(params.organisation)}, '${digest}')`
+function buildInsert ({ key, digest }: Work): string {
+  return `INSERT INTO tanagerusher_request (idempotency_key, digest) VALUES (${key}, '${digest}')`
 }
 
 function quote (text: string): string {
--- a/packages/pool/src/group/group-task.ts
+++ b/packages/pool/src/group/group-task.ts
@@ -12,6 +12,7 @@
 import type { SqlDatabaseGroup } from '../upstream/sql-database-group.js'
 import { CommitWaiters } from './commit-waiters.js'
 import { MemberWatch } from './member-watch.js'
+import { PlannedChange, type PausableDatabase } from './planned-change.js'
 import { ProbeRunner } from './probe-runner.js'
 import { PromotionRunner } from './promotion-runner.js'
 
@@ -26,6 +27,8 @@
   rankDelayMs: number
   /** Requests that run or wait at this pool for a database; 0 for databases that other pools own. */
   readLoad: (database: string) => number
+  /** The task of a database that this pool owns; undefined for the others. */
+  findOwnDatabase: (database: string) => PausableDatabase | undefined
   /** The group's state changed; notifications are sent at most every few milliseconds. */
   handleChange: (task: GroupTask) => void
 }
@@ -51,6 +54,7 @@
   readonly #probes: ProbeRunner
   readonly #watches = new Map<string, MemberWatch>()
   readonly #dataAge = DataAgeTracker.create()
+  readonly #change: PlannedChange
   readonly #timer: NodeJS.Timeout
   #group: Group
   #promotion: PromotionRunner | undefined
@@ -71,6 +75,15 @@
     this.#probes = ProbeRunner.create({
       group: options.name, members: () => this.#listNames(), databases, clock, observe: (status) => { this.observe(status) }
     })
+    this.#change = PlannedChange.create({
+      group: options.name,
+      clock,
+      logger: options.logger,
+      findDatabase: options.findOwnDatabase,
+      readStatus: async (database) => await databases.readStatus(database),
+      waitForPosition: async (database, position, timeoutMs) => await this.waitForPosition(database, position, timeoutMs),
+      promote: async (reason) => await new Promise((resolve) => { this.#promote(reason, undefined, resolve) })
+    })
     this.#updateWatches()
     this.#timer = setInterval(() => { this.#tick() }, TICK_MS)
   }
@@ -244,26 +257,41 @@
       return
     }
     for (const effect of effects) {
-      if (effect.type === 'start-promotion') this.#promote(effect.reason)
+      if (effect.type === 'start-promotion') this.#promote(effect.reason, effect.suspect)
       else this.#options.databases.follow(effect.database, effect.term, effect.primary).catch(() => {})
     }
   }
 
-  #promote (reason: string): void {
+  #promote (reason: string, avoid: string | undefined, handleEnd: (succeeded: boolean) => void = () => {}): void {
     const { clock, databases, logger, seed } = this.#options
     this.#promotion?.close()
     this.#promotion = PromotionRunner.create({
       group: this.name,
       members: this.#listByPreference(),
+      avoid,
       seed: seed + this.#monitor.highestTerm,
       databases,
       clock,
       logger,
-      handleEnd: (result) => { this.#handleMonitor({ type: 'promotion-ended', ...result }) }
+      handleEnd: (result) => {
+        this.#handleMonitor({ type: 'promotion-ended', ...result })
+        handleEnd(result.succeeded)
+      }
     })
+    this.#handleMonitor({ type: 'promotion-started' })
     this.#promotion.start(this.#monitor.highestTerm, reason)
   }
 
+  #checkLeavingPrimary (): void {
+    const primary = this.findPrimary()?.database
+    const databases = this.#group.databases
+    if (primary === undefined || !databases.some(({ name, leaving }) => name === primary && leaving)) return
+    if (this.#options.findOwnDatabase(primary) === undefined) return
+    const now = this.#now()
+    const successors = databases.filter(({ name, leaving }) => !leaving && this.#watches.get(name)?.isReachable(now, this.#options.suspectAfterMs))
+    this.#change.start(primary, successors.map(({ name }) => name))
+  }
+
   /** Leaving databases last; otherwise the order of the configuration. */
   #listByPreference (): string[] {
     const staying = this.#group.databases.filter(({ leaving }) => !leaving)
@@ -276,6 +304,7 @@
     this.commits.handle({ type: 'tick' }, now)
     this.#probes.handle({ type: 'tick' })
     this.#handleMonitor({ type: 'tick' })
+    this.#checkLeavingPrimary()
     const due = this.#positionWaiters.filter(({ deadline }) => deadline <= now)
     if (due.length > 0) this.#positionWaiters = this.#positionWaiters.filter(({ deadline }) => deadline > now)
     for (const waiter of due) waiter.resolve(false)
--- a/packages/pool/src/group/promotion-runner.ts
+++ b/packages/pool/src/group/promotion-runner.ts
@@ -7,6 +7,7 @@
   group: string
   members: readonly string[]
   seed: number
+  avoid: string | undefined
   databases: DatabaseGroup
   clock: Clock
   logger: Logger
@@ -25,7 +26,7 @@
 
   private constructor (options: CreateOptions) {
     this.#options = options
-    this.#promotion = Promotion.create({ members: options.members, seed: options.seed })
+    this.#promotion = Promotion.create({ members: options.members, seed: options.seed, avoid: options.avoid })
   }
 
   static create (options: CreateOptions): PromotionRunner {
--- a/packages/pool/src/process/task-registry.ts
+++ b/packages/pool/src/process/task-registry.ts
@@ -128,6 +128,7 @@
       suspectAfterMs: settings.suspectAfterMs,
       rankDelayMs: settings.promotionDelayMs,
       readLoad: (database) => this.#databases.get(`${name}/${database}`)?.load ?? 0,
+      findOwnDatabase: (database) => this.#isOwned(name, database) ? this.findDatabase(name, database) : undefined,
       handleChange: handleStatus
     })
     this.#groups.set(name, task)
