Do less per statement in the pool

Cause: a profile of a trial (one process with stand-in and client, busy machine) showed copies of the request in the reset check, an AbortController per pause of a member watch and a monitor pass per status.

--- a/packages/pool/src/database/database-task.ts
+++ b/packages/pool/src/database/database-task.ts
@@ -317,7 +317,7 @@
     if (request.cancelling !== undefined) await request.cancelling
     if (!connection.upstream.isOpen) connection.state.destroy()
     const action = connection.state.finish({
-      requestId: params.requestId, status: outcome.status, mayLeaveState: mayLeaveState({ ...params, ...outcome, frames: params.frames })
+      requestId: params.requestId, status: outcome.status, mayLeaveState: mayLeaveState(params, outcome)
     })
     if (action === 'keep' && request.isAbandoned) {
       this.#destroy(connection)
--- a/packages/pool/src/group/group-task.ts
+++ b/packages/pool/src/group/group-task.ts
@@ -41,6 +41,8 @@
 }
 
 const TICK_MS = 25
+/** The monitor counts in hundreds of milliseconds; under load statuses come every fraction of one. */
+const MONITOR_SPACING_MS = 50
 
 /**
  * Watches all members of one group, confirms positions, and promotes when the primary is lost. It owns the control
@@ -55,6 +57,7 @@
   readonly #watches = new Map<string, MemberWatch>()
   readonly #dataAge = DataAgeTracker.create()
   readonly #change: PlannedChange
+  readonly #monitored = new Map<string, { status: DatabaseStatus, at: number }>()
   readonly #timer: NodeJS.Timeout
   #group: Group
   #promotion: PromotionRunner | undefined
@@ -237,10 +240,20 @@
     this.commits.observe(status, this.#now())
     if (status.role === 'primary' && status.promisedTerm === status.log.term) this.#dataAge.record(status.log, askedAt)
     this.#resolvePositions(status)
-    this.#handleMonitor({ type: 'status', status })
+    this.#tellMonitor(status)
     this.#options.handleChange(this)
   }
 
+  #tellMonitor (status: DatabaseStatus): void {
+    const now = this.#now()
+    const told = this.#monitored.get(status.database)
+    const isSame = told?.status.role === status.role && told.status.promisedTerm === status.promisedTerm &&
+      told.status.log.term === status.log.term && told.status.primary === status.primary
+    if (told !== undefined && isSame && now - told.at < MONITOR_SPACING_MS) return
+    this.#monitored.set(status.database, { status, at: now })
+    this.#handleMonitor({ type: 'status', status })
+  }
+
   #resolvePositions (status: DatabaseStatus): void {
     if (this.#positionWaiters.length === 0) return
     const isReached = ({ database, floor }: PositionWaiter): boolean => database === status.database && isFloorSatisfied(status.log, floor)
--- a/packages/pool/src/group/member-watch.ts
+++ b/packages/pool/src/group/member-watch.ts
@@ -1,4 +1,3 @@
-import { setTimeout as wait } from 'node:timers/promises'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { DatabaseGroup } from '@tanagerusher/coordination/common/database-group'
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
@@ -26,7 +25,7 @@
   #status: DatabaseStatus | undefined
   #heardAt = 0
   #isClosed = false
-  #wake: AbortController | undefined
+  #wake: (() => void) | undefined
 
   private constructor (options: CreateOptions) {
     this.#options = options
@@ -47,7 +46,7 @@
 
   /** Ends the pause between polls. */
   wake (): void {
-    this.#wake?.abort()
+    this.#wake?.()
   }
 
   /** Takes a status that was read elsewhere; an older one than the known one is dropped. */
@@ -82,8 +81,13 @@
   }
 
   async #pause (durationMs: number): Promise<void> {
-    this.#wake = new AbortController()
-    await wait(durationMs, undefined, { signal: this.#wake.signal }).catch(() => {})
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, durationMs)
+      this.#wake = () => {
+        clearTimeout(timer)
+        resolve()
+      }
+    })
     this.#wake = undefined
   }
 }
