--- /dev/null
+++ b/packages/coordination/src/configuration/change-writer.ts
@@ -0,0 +1,88 @@
+/** A write: a new value, or null for removal. `expectedVersion` 0 means that the object must not exist. */
+export interface Change {
+  kind: string
+  name: string
+  value: Record<string, unknown> | null
+  expectedVersion: number
+  /** Unique; stored in the value as `changeId`, so that the writer recognises its own change after a lost answer. */
+  changeId: string
+}
+
+export type ChangeEvent =
+  | { type: 'start' }
+  | { type: 'written', version: number }
+  /** The store found another version. */
+  | { type: 'conflict', found: number }
+  /** No answer: the write may have taken effect. */
+  | { type: 'lost' }
+  | { type: 'read', object: { version: number, value: unknown } | null }
+  | { type: 'read-failed' }
+
+export type ChangeEffect =
+  | { type: 'write', kind: string, name: string, value: Record<string, unknown>, expectedVersion: number }
+  | { type: 'remove', kind: string, name: string, expectedVersion: number }
+  | { type: 'read', kind: string, name: string }
+  | { type: 'accepted', version: number }
+  | { type: 'conflict', found: number, expected: number }
+  /** Not known whether the change took effect. */
+  | { type: 'unknown' }
+
+interface CreateOptions { change: Change, maximumAttempts?: number }
+
+/**
+ * One conditional update of the store, followed to a definite answer where there is one. After a lost answer it reads
+ * the object back: the own `changeId` means accepted, the version from before means that the write may be repeated, and
+ * anything else is a conflict.
+ */
+export class ChangeWriter {
+  readonly #change: Change
+  #attemptsLeft: number
+  #mayHaveWritten = false
+
+  private constructor ({ change, maximumAttempts = 4 }: CreateOptions) {
+    this.#change = change
+    this.#attemptsLeft = maximumAttempts
+  }
+
+  static create (options: CreateOptions): ChangeWriter {
+    return new ChangeWriter(options)
+  }
+
+  handle (event: ChangeEvent): ChangeEffect[] {
+    switch (event.type) {
+      case 'start': return [this.#write()]
+      case 'written': return [{ type: 'accepted', version: event.version }]
+      case 'conflict': return this.#mayHaveWritten ? [this.#read()] : [this.#reportConflict(event.found)]
+      case 'lost':
+        this.#mayHaveWritten = true
+        return [this.#attemptsLeft > 0 ? this.#read() : { type: 'unknown' }]
+      case 'read-failed': return [this.#attemptsLeft-- > 0 ? this.#read() : { type: 'unknown' }]
+      case 'read': return [this.#judge(event.object)]
+    }
+  }
+
+  #judge (object: { version: number, value: unknown } | null): ChangeEffect {
+    const { value, expectedVersion, changeId } = this.#change
+    if (value === null && object === null) return { type: 'accepted', version: 0 }
+    if (object !== null && (object.value as { changeId?: unknown } | null)?.changeId === changeId) return { type: 'accepted', version: object.version }
+    const found = object?.version ?? 0
+    if (found !== expectedVersion) return this.#reportConflict(found)
+    return this.#attemptsLeft > 0 ? this.#write() : { type: 'unknown' }
+  }
+
+  #write (): ChangeEffect {
+    this.#attemptsLeft--
+    const { kind, name, value, expectedVersion, changeId } = this.#change
+    return value === null
+      ? { type: 'remove', kind, name, expectedVersion }
+      : { type: 'write', kind, name, value: { ...value, changeId }, expectedVersion }
+  }
+
+  #read (): ChangeEffect {
+    return { type: 'read', kind: this.#change.kind, name: this.#change.name }
+  }
+
+  #reportConflict (found: number): ChangeEffect {
+    return { type: 'conflict', found, expected: this.#change.expectedVersion }
+  }
+}
