Add the control process with its administration API

Cause: entries and pools need configuration, membership and grants; operators need the administration API.

--- /dev/null
+++ b/packages/control/src/administration/operator-directory.ts
@@ -0,0 +1,63 @@
+import { createHash, timingSafeEqual } from 'node:crypto'
+import { readFileSync } from 'node:fs'
+import type { ConfigurationReplica } from '@tanagerusher/coordination/configuration/configuration-replica'
+import { z } from 'zod'
+import { operatorSchema, type Operator } from './operator.js'
+
+export interface AuthenticatedOperator extends Pick<Operator, 'role' | 'organisation'> { name: string }
+
+interface CreateOptions {
+  replica: ConfigurationReplica
+  rootCredentialFile?: string | undefined
+}
+
+const operatorsSchema = z.record(z.string(), operatorSchema)
+const ROOT = 'root'
+
+/** Operators and their credentials: `root` from a file that the settings name, the others from the configuration. */
+export class OperatorDirectory {
+  readonly #options: CreateOptions
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+  }
+
+  static create (options: CreateOptions): OperatorDirectory {
+    return new OperatorDirectory(options)
+  }
+
+  list (): Record<string, Operator> {
+    const parsed = operatorsSchema.safeParse(this.#options.replica.find('fleet', 'operators')?.value.operators)
+    return parsed.success ? parsed.data : {}
+  }
+
+  /** Checks an `Authorization: Basic` header; undefined when it does not name an operator with the right credential. */
+  authenticate (header: string | undefined): AuthenticatedOperator | undefined {
+    const text = header?.startsWith('Basic ') === true ? Buffer.from(header.slice(6), 'base64').toString() : ''
+    const colon = text.indexOf(':')
+    if (colon < 1) return undefined
+    const name = text.slice(0, colon)
+    const hash = hashCredential(text.slice(colon + 1))
+    if (name === ROOT) return this.#isRootCredential(hash) ? { name, role: 'administrator' } : undefined
+    const operators = this.list()
+    const operator = Object.hasOwn(operators, name) ? operators[name] : undefined
+    if (operator === undefined || !isSameHash(hash, operator.credentialHash)) return undefined
+    return { name, role: operator.role, ...(operator.organisation === undefined ? {} : { organisation: operator.organisation }) }
+  }
+
+  /** Read at each use, so that the file can be replaced while the process runs. */
+  #isRootCredential (hash: string): boolean {
+    const file = this.#options.rootCredentialFile
+    if (file === undefined) return false
+    const credential = readFileSync(file, 'utf8').trim()
+    return credential !== '' && isSameHash(hash, hashCredential(credential))
+  }
+}
+
+function hashCredential (credential: string): string {
+  return createHash('sha256').update(credential).digest('hex')
+}
+
+function isSameHash (left: string, right: string): boolean {
+  return left.length === right.length && timingSafeEqual(Buffer.from(left), Buffer.from(right))
+}
--- /dev/null
+++ b/packages/control/src/administration/operator.ts
@@ -0,0 +1,10 @@
+import { z } from 'zod'
+
+/** Operator as the object `fleet/operators` holds it. Only a hash of the random credential is kept. */
+export const operatorSchema = z.looseObject({
+  role: z.enum(['administrator', 'team', 'viewer']).describe('`team` may change only the catalogue entries of its organisation; `viewer` only reads'),
+  organisation: z.string().optional().describe('Organisation of a team'),
+  credentialHash: z.string().describe('SHA-256 of the credential, hexadecimal')
+})
+
+export type Operator = z.infer<typeof operatorSchema>
--- /dev/null
+++ b/packages/control/src/budget/share-table-task.ts
@@ -0,0 +1,53 @@
+import type { ShareTable } from '@tanagerusher/coordination/budget/share-table'
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { PlatformStore } from '@tanagerusher/coordination/common/platform-store'
+import type { MembershipView } from '@tanagerusher/coordination/membership/membership-view'
+import { computeRendezvousOrder } from '@tanagerusher/coordination/membership/compute-rendezvous-order'
+import type { Logger } from 'winston'
+import { createShareRow } from '../membership/create-share-row.js'
+import { runChange } from '../store/run-change.js'
+
+interface CreateOptions {
+  clock: Clock
+  store: PlatformStore
+  logger: Logger
+  view: MembershipView
+  shareTable: ShareTable
+}
+
+/** Hosts that start together get into the first table together. */
+const FIRST_TABLE_DELAY_MS = 1500
+const RETRY_MS = 2000
+
+/** Proposes changes of the share table to the store. One serving host does so; two at once only race for the update. */
+export class ShareTableTask {
+  readonly #options: CreateOptions
+  readonly #startedAt: number
+  #nextAt = -Infinity
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+    this.#startedAt = options.clock.readTime()
+  }
+
+  static create (options: CreateOptions): ShareTableTask {
+    return new ShareTableTask(options)
+  }
+
+  async run (): Promise<void> {
+    const { clock, store, logger, view, shareTable } = this.#options
+    const now = clock.readTime()
+    if (now < this.#nextAt || now < this.#startedAt + FIRST_TABLE_DELAY_MS) return
+    const serving = view.listServing(now)
+    if (computeRendezvousOrder('share table', serving.map(({ host }) => host))[0] !== view.self.host) return
+    const value = shareTable.propose(serving.map(createShareRow), now)
+    if (value === null) return
+    this.#nextAt = now + RETRY_MS
+    try {
+      await runChange(store, { kind: 'fleet', name: 'share-table', value, expectedVersion: shareTable.version, changeId: `${view.self.incarnation}/${value.generation}` })
+      logger.info('share table changed', { generation: value.generation, hosts: value.hosts.map(({ host }) => host).join() })
+    } catch (error) {
+      logger.warn('the share table was not changed', { error: String(error) })
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/main.ts
@@ -0,0 +1,18 @@
+import { createLogger } from '@tanagerusher/runtime/log/create-logger'
+import { runProgram } from '@tanagerusher/runtime/process/run-program'
+import { SystemClock } from '@tanagerusher/runtime/clock/system-clock'
+import { HttpPlatformStore } from '@tanagerusher/transport/store/http-platform-store'
+import { ControlProcess } from './process/control-process.js'
+import { controlSettingsSchema } from './settings/control-settings.js'
+
+await runProgram({
+  name: 'tanagerusher-control',
+  description: 'Control process of a host: membership, configuration, budgets, administration API',
+  schema: controlSettingsSchema,
+  start: async (settings) => await ControlProcess.start({
+    settings,
+    clock: SystemClock.create(),
+    store: HttpPlatformStore.create({ url: settings.storeUrl, caller: settings.host }),
+    logger: createLogger({ label: 'control', level: settings.logLevel, fields: { host: settings.host, dataCentre: settings.dataCentre } })
+  })
+})
--- /dev/null
+++ b/packages/control/src/membership/heartbeat-task.ts
@@ -0,0 +1,122 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { ShareTable } from '@tanagerusher/coordination/budget/share-table'
+import type { MembershipView } from '@tanagerusher/coordination/membership/membership-view'
+import { membershipHeartbeat, type MembershipHeartbeatParams, type MembershipHeartbeatResult } from '@tanagerusher/protocol/peer/membership-heartbeat'
+import type { FleetMember } from '@tanagerusher/state/common/fleet-member'
+import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
+import type { PeerAddress, PeerLinks } from '../peer/peer-links.js'
+import { createShareRow } from './create-share-row.js'
+
+interface CreateOptions {
+  clock: Clock
+  links: PeerLinks
+  view: MembershipView
+  shareTable: ShareTable
+  /** Addresses from the settings, to find the fleet. */
+  seeds: readonly PeerAddress[]
+  describeSelf: () => Pick<MembershipHeartbeatResult, 'digest' | 'storeAgeMs'>
+  handleAnswer: (answer: MembershipHeartbeatResult, sentAt: number) => void
+  /** Called after each round, when the view may have changed. */
+  handleRound: () => void
+}
+
+const INTERVAL_MS = 500
+const TIMEOUT_MS = 1500
+/** Rounds between two questions for the hosts that a peer knows. */
+const MEMBERS_EVERY = 20
+/** Old addresses are dropped first; a host that lives is a member and needs no hint. */
+const HINT_LIMIT = 64
+
+/** Sends heartbeats to the other controls every 500 ms and answers theirs. */
+export class HeartbeatTask {
+  readonly #options: CreateOptions
+  #hints: PeerAddress[] = []
+  #timer: NodeJS.Timeout | undefined
+  #rounds = 0
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+  }
+
+  static create (options: CreateOptions): HeartbeatTask {
+    return new HeartbeatTask(options)
+  }
+
+  start (): void {
+    this.#timer = setInterval(() => { this.#runRound() }, INTERVAL_MS)
+    this.#runRound()
+  }
+
+  close (): void {
+    clearInterval(this.#timer)
+  }
+
+  /** Sends one round at once, as when the own state changed. */
+  announce (): void {
+    this.#runRound()
+  }
+
+  /** Addresses from the platform's late list: whom to contact, nothing more. */
+  updateHints (hints: PeerAddress[]): void {
+    this.#hints = hints
+  }
+
+  prepareConnection (connection: PeerConnection): void {
+    connection.addMethod(membershipHeartbeat, async (params) => this.#answer(params))
+  }
+
+  #answer ({ wantMembers, member, shareTableVersion }: MembershipHeartbeatParams): MembershipHeartbeatResult {
+    const { clock, view, shareTable } = this.#options
+    const now = clock.readTime()
+    view.recordHeartbeat(member, now)
+    shareTable.recordTableVersion(createShareRow(member), shareTableVersion, now)
+    return { ...this.#describe(), ...(wantMembers ? { members: view.listMembers(now).slice(1) } : {}) }
+  }
+
+  #runRound (): void {
+    const { clock, view, handleRound } = this.#options
+    const wantMembers = this.#rounds++ % MEMBERS_EVERY < 2
+    const addresses = new Map<string, { address: PeerAddress, member?: FleetMember }>()
+    const own = view.self.addresses.control
+    for (const address of [...this.#options.seeds, ...this.#hints]) addresses.set(`${address.host}:${address.port}`, { address })
+    for (const member of view.listMembers(clock.readTime()).slice(1)) {
+      const address = member.addresses.control
+      addresses.set(`${address.host}:${address.port}`, { address, member })
+    }
+    addresses.delete(`${own.host}:${own.port}`)
+    for (const { address, member } of addresses.values()) void this.#send(address, member, wantMembers)
+    handleRound()
+  }
+
+  async #send (address: PeerAddress, member: FleetMember | undefined, wantMembers: boolean): Promise<void> {
+    const { clock, links, view } = this.#options
+    try {
+      const connection = await links.connect(address)
+      const sentAt = clock.readTime()
+      this.#handleAnswer(await connection.request(membershipHeartbeat, { ...this.#describe(), wantMembers }, TIMEOUT_MS), sentAt)
+    } catch (error) {
+      const reason = String((error as { details?: { reason?: unknown } }).details?.reason ?? '')
+      if (member !== undefined && reason.includes('ECONNREFUSED')) view.recordRefusal(member.incarnation)
+    }
+  }
+
+  #handleAnswer (answer: MembershipHeartbeatResult, sentAt: number): void {
+    const { clock, view, shareTable, handleAnswer } = this.#options
+    const now = clock.readTime()
+    view.recordHeartbeat(answer.member, now)
+    shareTable.recordAnswer({ ...createShareRow(answer.member), tableVersion: answer.shareTableVersion, sentAt }, now)
+    if (answer.members !== undefined) this.#addHints(answer.members)
+    handleAnswer(answer, sentAt)
+  }
+
+  #addHints (members: FleetMember[]): void {
+    const known = this.#hints.map(({ host, port }) => `${host}:${port}`)
+    const added = members.map(({ addresses }) => addresses.control).filter(({ host, port }) => !known.includes(`${host}:${port}`))
+    this.#hints = [...this.#hints, ...added].slice(-HINT_LIMIT)
+  }
+
+  #describe (): Pick<MembershipHeartbeatResult, 'member' | 'shareTableVersion' | 'digest' | 'storeAgeMs'> {
+    const { view, shareTable, describeSelf } = this.#options
+    return { member: view.self, shareTableVersion: shareTable.version, ...describeSelf() }
+  }
+}
--- /dev/null
+++ b/packages/control/src/status/host-status.ts
@@ -0,0 +1,25 @@
+import { z } from 'zod'
+
+/** State of one host as operators see it. */
+export const hostStatusSchema = z.looseObject({
+  host: z.string(),
+  incarnation: z.string(),
+  dataCentre: z.string(),
+  region: z.string(),
+  state: z.enum(['starting', 'serving', 'leaving', 'unreachable']),
+  /** Lowest version in force at the host's processes. */
+  configurationVersion: z.number().int(),
+  confirmedAgeMs: z.number().nullable(),
+  storeAgeMs: z.number().nullable(),
+  shareFraction: z.number(),
+  partitions: z.number().int(),
+  processes: z.array(z.looseObject({
+    role: z.enum(['entry', 'pool']),
+    configurationVersion: z.number().int().nullable(),
+    remaining: z.number().int().nullable(),
+    figures: z.record(z.string(), z.number()),
+    organisations: z.record(z.string(), z.number())
+  }))
+})
+
+export type HostStatus = z.infer<typeof hostStatusSchema>
--- /dev/null
+++ b/packages/control/src/subscription/process-registry.ts
@@ -0,0 +1,85 @@
+import type { ConfigurationReplica } from '@tanagerusher/coordination/configuration/configuration-replica'
+import { configurationUpdateNotification } from '@tanagerusher/protocol/peer/configuration-update'
+import { controlSubscribe, type ControlSubscribeResult } from '@tanagerusher/protocol/peer/control-subscribe'
+import { membershipUpdate, type MembershipUpdateParams } from '@tanagerusher/protocol/peer/membership-update'
+import { statusReport, type StatusReportParams } from '@tanagerusher/protocol/peer/status-report'
+import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
+import type { z } from 'zod'
+
+type SubscribeParams = z.infer<typeof controlSubscribe.params>
+
+interface Subscriber extends SubscribeParams {
+  host: string
+  connection: PeerConnection
+  sentVersion: number
+  report: StatusReportParams | undefined
+}
+
+interface CreateOptions {
+  host: string
+  replica: ConfigurationReplica
+  describeMembership: (host: string) => MembershipUpdateParams
+  /** A process of the own host came or went. */
+  handleChange: () => void
+}
+
+/** Entries and pools that take configuration and membership from this control. */
+export class ProcessRegistry {
+  readonly #options: CreateOptions
+  readonly #subscribers = new Map<PeerConnection, Subscriber>()
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+  }
+
+  static create (options: CreateOptions): ProcessRegistry {
+    return new ProcessRegistry(options)
+  }
+
+  prepareConnection (connection: PeerConnection): void {
+    connection.addMethod(controlSubscribe, async (params) => await this.#subscribe(connection, params))
+    connection.addMethod(statusReport, async (report) => {
+      const subscriber = this.#subscribers.get(connection)
+      if (subscriber !== undefined) subscriber.report = report
+      return {}
+    })
+  }
+
+  /** Processes of the own host. */
+  listLocal (): Array<Pick<Subscriber, 'role' | 'address' | 'report' | 'incarnation'>> {
+    return [...this.#subscribers.values()].filter(({ host }) => host === this.#options.host)
+  }
+
+  /** Requests that still run at the own host's processes. */
+  countRemaining (): number {
+    return this.listLocal().reduce((sum, { report }) => sum + (report?.remaining ?? 1), 0)
+  }
+
+  sendConfiguration (): void {
+    const { replica } = this.#options
+    for (const subscriber of this.#subscribers.values()) {
+      const update = replica.createUpdate(subscriber.sentVersion)
+      if (update === null) continue
+      subscriber.sentVersion = update.toVersion
+      subscriber.connection.notify(configurationUpdateNotification, update)
+    }
+  }
+
+  sendMembership (): void {
+    for (const { connection, host } of this.#subscribers.values()) connection.notify(membershipUpdate, this.#options.describeMembership(host))
+  }
+
+  async #subscribe (connection: PeerConnection, params: SubscribeParams): Promise<ControlSubscribeResult> {
+    const { replica, describeMembership, handleChange } = this.#options
+    const { host } = await connection.remoteHello
+    const configuration = replica.createUpdate(params.configurationVersion)
+    this.#subscribers.set(connection, { ...params, host, connection, sentVersion: Math.max(replica.version, params.configurationVersion), report: undefined })
+    void connection.closed.then(() => {
+      this.#subscribers.delete(connection)
+      handleChange()
+    })
+    handleChange()
+    const { members, confirmedAgeMs } = describeMembership(host)
+    return { configuration, members, confirmedAgeMs }
+  }
+}
--- a/packages/coordination/src/budget/budget-home.ts
+++ b/packages/coordination/src/budget/budget-home.ts
@@ -64,6 +64,8 @@
   readonly #grantValidMs: number
   readonly #grantGuardMs: number
   readonly #delegations = new Map<number, Map<string, HeldDelegation>>()
+  /** When each partition was given up; answers to requests sent before no longer count. */
+  readonly #releasedAt = new Map<number, number>()
   readonly #limits = new Map<string, Limits>()
   readonly #accounts = new Map<string, Account>()
   #issued = 0
@@ -92,6 +94,7 @@
   addDelegation ({ delegator, partitions, fraction, validMs, sentAt }: DelegationGiven, now: number): void {
     const usableUntil = sentAt + validMs - this.#grantGuardMs
     for (const partition of partitions) {
+      if (sentAt <= (this.#releasedAt.get(partition) ?? -Infinity)) continue
       const held = this.#delegations.get(partition) ?? new Map<string, HeldDelegation>()
       this.#delegations.set(partition, held)
       const known = held.get(delegator)
@@ -102,14 +105,32 @@
     }
   }
 
-  /** Gives up partitions, as on leaving: level and delegations are dropped, open grants run on. */
-  removePartitions (partitions: readonly number[]): void {
+  /** Gives up partitions: levels are dropped, nothing more is granted. Returns what is still out in grants. */
+  releasePartitions (partitions: readonly number[], now: number): Array<{ organisation: string, tokens: number }> {
     for (const partition of partitions) {
       this.#delegations.delete(partition)
-      for (const [organisation, account] of this.#accounts) {
-        if (computePartition(organisation) === partition) account.bucket.fill(0, 0)
-      }
+      this.#releasedAt.set(partition, now)
     }
+    return [...this.#accounts.keys()]
+      .filter((organisation) => partitions.includes(computePartition(organisation)))
+      .map((organisation) => ({ organisation, tokens: this.#advance(organisation, now)?.outstanding ?? 0 }))
+      .filter(({ tokens }) => tokens > 0)
+  }
+
+  /**
+   * Counts grants of a former home against the burst until they have lapsed. False, with nothing done, when an
+   * organisation is not known here yet: the former home must then wait for its grants to lapse.
+   */
+  addForeignGrants (outstanding: ReadonlyArray<{ organisation: string, tokens: number }>, now: number): boolean {
+    if (outstanding.some(({ organisation }) => !this.#limits.has(organisation))) return false
+    for (const { organisation, tokens } of outstanding) {
+      const account = this.#advance(organisation, now)
+      if (account === undefined) continue
+      account.grants.set(`foreign/${++this.#issued}`, { tokens, lapsesAt: now + this.#grantGuardMs })
+      account.outstanding += tokens
+      this.#advance(organisation, now)
+    }
+    return true
   }
 
   /** Grants tokens, at most what the bucket holds. Closed grants settle first. */
@@ -146,13 +167,6 @@
     return this.#sumFractions(organisation, now)
   }
 
-  /** Tokens in open grants, over all organisations. A leaving home waits until none are left. */
-  countOutstanding (now: number): number {
-    let sum = 0
-    for (const [organisation] of this.#accounts) sum += this.#advance(organisation, now)?.outstanding ?? 0
-    return sum
-  }
-
   /** Divides a short level among those who asked in the last second, by their demand. At least one token each. */
   #computePart (account: Account, holder: string, wanted: number, now: number): number {
     if (account.bucket.level >= wanted * 2) return wanted
--- a/packages/coordination/src/budget/delegation.ts
+++ b/packages/coordination/src/budget/delegation.ts
@@ -6,6 +6,8 @@
 interface DelegationRequest {
   /** Incarnation of the home that asks. */
   home: string
+  /** Rises with each request of the home. */
+  sequence: number
   partitions: readonly number[]
   /** Whether the own view names this home as the first in order for the partition. */
   isPreferred: (partition: number) => boolean
@@ -13,7 +15,9 @@
   shareValidMs: number
 }
 
-interface Delegated { home: string, until: number }
+interface ReleaseRequest { home: string, sequence: number, partitions: readonly number[], next?: string | undefined }
+
+interface Delegated { home: string, sequence: number, until: number }
 
 /** Below this, a delegation would lapse before a grant could be made from it. */
 const USEFUL_MS = 1500
@@ -38,19 +42,29 @@
   }
 
   /** Answers a home. `partitions` are those delegated to it; `validMs` counts from when the home sent its request. */
-  delegate ({ home, partitions, isPreferred, shareValidMs }: DelegationRequest, now: number): { partitions: number[], validMs: number } {
+  delegate ({ home, sequence, partitions, isPreferred, shareValidMs }: DelegationRequest, now: number): { partitions: number[], validMs: number } {
     const validMs = Math.min(this.#validMs, shareValidMs)
     if (validMs < USEFUL_MS) return { partitions: [], validMs: 0 }
     const given = partitions.filter((partition) => this.#isFree(partition, home, now) && isPreferred(partition))
     const until = now + validMs * (1 + this.#clockMargin)
-    for (const partition of given) this.#delegated.set(partition, { home, until: Math.max(until, this.#delegated.get(partition)?.until ?? 0) })
+    for (const partition of given) {
+      const known = this.#delegated.get(partition)
+      this.#delegated.set(partition, { home, sequence: Math.max(sequence, known?.home === home ? known.sequence : 0), until: Math.max(until, known?.until ?? 0) })
+    }
     return { partitions: given, validMs }
   }
 
-  /** A home gave the partitions up and its grants have lapsed. A release by another home than the holder is ignored. */
-  release (home: string, partitions: readonly number[]): void {
+  /**
+   * A home gave partitions up. `next` is the home that was told of the grants still out: until the delegation would have
+   * lapsed, only that one gets the share. Without `next` all grants have lapsed. Ignored for delegations to another home,
+   * and for those given to a later request of this home, since the release may be late or repeated.
+   */
+  release ({ home, sequence, partitions, next }: ReleaseRequest): void {
     for (const partition of partitions) {
-      if (this.#delegated.get(partition)?.home === home) this.#delegated.delete(partition)
+      const delegated = this.#delegated.get(partition)
+      if (delegated?.home !== home || delegated.sequence > sequence) continue
+      if (next === undefined) this.#delegated.delete(partition)
+      else this.#delegated.set(partition, { home: next, sequence: 0, until: delegated.until })
     }
   }
 
--- /dev/null
+++ b/packages/coordination/src/budget/share-table-schema.ts
@@ -0,0 +1,15 @@
+import { z } from 'zod'
+
+const rowSchema = z.object({ host: z.string(), incarnation: z.string(), address: z.string() })
+
+/** Value of the object `fleet/share-table`. */
+export const shareTableSchema = z.looseObject({
+  /** Rises by one with each change. */
+  generation: z.number().int().positive(),
+  hosts: z.array(rowSchema),
+  /** Rows of the generation before: a majority of them must know this table before any share may grow. */
+  previousHosts: z.array(rowSchema)
+})
+
+export type ShareTableValue = z.infer<typeof shareTableSchema>
+export type ShareRow = z.infer<typeof rowSchema>
--- a/packages/coordination/src/budget/share-table.ts
+++ b/packages/coordination/src/budget/share-table.ts
@@ -1,15 +1,5 @@
 import { computeRendezvousOrder } from '../membership/compute-rendezvous-order.js'
-
-export interface ShareRow { host: string, incarnation: string, address: string }
-
-/** Value of the object `fleet/share-table`. */
-export interface ShareTableValue {
-  /** Rises by one with each change. */
-  generation: number
-  hosts: ShareRow[]
-  /** Rows of the generation before: a majority of them must know this table before any share may grow. */
-  previousHosts: ShareRow[]
-}
+import type { ShareRow, ShareTableValue } from './share-table-schema.js'
 
 interface CreateOptions {
   self: ShareRow
@@ -127,6 +117,11 @@
     return isUnchanged || hosts.length === 0 ? null : { generation: current.generation + 1, hosts, previousHosts: current.hosts }
   }
 
+  /** Table that counts no former rows, for operators: only when a majority of the table's hosts is known to be gone. */
+  createReset (serving: readonly ShareRow[]): ShareTableValue {
+    return { generation: (this.#value?.generation ?? 0) + 1, hosts: this.#chooseHosts([], serving), previousHosts: [] }
+  }
+
   #chooseHosts (kept: readonly ShareRow[], serving: readonly ShareRow[]): ShareRow[] {
     const added = serving.filter((row) => !kept.some((other) => other.incarnation === row.incarnation))
     const order = computeRendezvousOrder('share table', added.map(({ incarnation }) => incarnation))
--- a/packages/coordination/src/configuration/configuration-replica.ts
+++ b/packages/coordination/src/configuration/configuration-replica.ts
@@ -51,6 +51,13 @@
     return isSnapshot ? this.#applySnapshot(update) : this.#applyDelta(update)
   }
 
+  /** Digest that a configuration of exactly these objects has. */
+  computeDigest (changes: readonly ConfigurationChange[]): string {
+    const digest: [number, number] = [0, 0]
+    for (const change of changes) if (change.type === 'put') combine(digest, change.object)
+    return formatDigest(digest)
+  }
+
   /** Applies changes as a watch of the store reports them; those already known are passed over. */
   applyStoreChanges (changes: readonly ConfigurationChange[]): ConfigurationUpdate | null {
     const fresh = changes.filter((change) => readVersion(change) > this.#version)
--- a/packages/errors/src/catalogue/errors-catalogue.ts
+++ b/packages/errors/src/catalogue/errors-catalogue.ts
@@ -218,6 +218,33 @@
     httpStatus: 400,
     outcome: 'none'
   },
+  'object-unknown': {
+    name: 'ObjectUnknownError',
+    title: 'The object does not exist',
+    message: 'There is no object {object}.',
+    hint: 'Check the name; list the objects of the kind.',
+    sqlState: '42704',
+    httpStatus: 404,
+    outcome: 'none'
+  },
+  'operator-unknown': {
+    name: 'OperatorUnknownError',
+    title: 'The operator is not known',
+    message: 'The request carries no valid credential of an operator.',
+    hint: 'Send name and credential as HTTP basic authentication; an administrator can give a new credential.',
+    sqlState: '28000',
+    httpStatus: 401,
+    outcome: 'none'
+  },
+  'operator-denied': {
+    name: 'OperatorDeniedError',
+    title: 'The operator may not do this',
+    message: 'Operator {operator} may not {action}.',
+    hint: 'Ask an administrator to do it or to change the role; a team changes only its own entries.',
+    sqlState: '42501',
+    httpStatus: 403,
+    outcome: 'none'
+  },
   'trace-invalid': {
     name: 'TraceInvalidError',
     title: 'The recorded trace is not valid',
--- a/packages/protocol/src/peer/budget-request.ts
+++ b/packages/protocol/src/peer/budget-request.ts
@@ -8,7 +8,11 @@
     /** Tokens wanted now. */
     wanted: z.number().nonnegative(),
     /** Tokens per second that the asker uses, for sizing the grant. */
-    demandPerSecond: z.number().nonnegative()
+    demandPerSecond: z.number().nonnegative(),
+    /** Incarnation of the process that holds the tokens; a control that passes the request on fills it in. */
+    holder: z.string().optional(),
+    /** Grants of the asker that are spent, or partly unspent and given up. Frees their part of the burst. */
+    closed: z.array(z.object({ grantId: z.string(), unspent: z.number().nonnegative() })).optional()
   }),
   result: z.looseObject({
     grantId: z.string(),
--- /dev/null
+++ b/packages/protocol/src/peer/membership-heartbeat.ts
@@ -0,0 +1,25 @@
+import { fleetMemberSchema } from '@tanagerusher/state/common/fleet-member'
+import { z } from 'zod'
+
+const contentSchema = z.looseObject({
+  member: fleetMemberSchema,
+  /** Store version of the newest share table that the sender knows; 0 for none. */
+  shareTableVersion: z.number().int().nonnegative(),
+  /** Digest of the sender's configuration at `member.configurationVersion`. */
+  digest: z.string(),
+  /** Time since the store was asked and had nothing newer than the sender's configuration; null when not known. */
+  storeAgeMs: z.number().nullable()
+})
+
+/** Heartbeat between control processes. The answer confirms the caller's configuration and share. */
+export const membershipHeartbeat = {
+  method: 'membership.heartbeat',
+  params: contentSchema.extend({
+    /** Asks for the other hosts that the peer knows. */
+    wantMembers: z.boolean().default(false)
+  }),
+  result: contentSchema.extend({ members: z.array(fleetMemberSchema).optional() })
+} as const
+
+export type MembershipHeartbeatParams = z.infer<typeof membershipHeartbeat.params>
+export type MembershipHeartbeatResult = z.infer<typeof membershipHeartbeat.result>
