--- a/packages/control/bin/tanagerusher-control.js
+++ b/packages/control/bin/tanagerusher-control.js
@@ -1,2 +1,3 @@
 #!/usr/bin/env node
-import '../dist/src/main.js'
+import '../dist/src/process/reduce-memory.js'
+await import('../dist/src/main.js')
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -1,9 +1,9 @@
 import { createLogger } from '@tanagerusher/runtime/log/create-logger'
 import { runProgram } from '@tanagerusher/runtime/process/run-program'
 import { SystemClock } from '@tanagerusher/runtime/clock/system-clock'
-import { HttpPlatformStore } from '@tanagerusher/transport/store/http-platform-store'
 import { ControlProcess } from './process/control-process.js'
 import { controlSettingsSchema } from './settings/control-settings.js'
+import { LazyPlatformStore } from './store/lazy-platform-store.js'
 
 await runProgram({
   name: 'tanagerusher-control',
@@ -12,7 +12,12 @@
   start: async (settings) => await ControlProcess.start({
     settings,
     clock: SystemClock.create(),
-    store: HttpPlatformStore.create({ url: settings.storeUrl, caller: settings.host }),
+    store: LazyPlatformStore.create({
+      open: async () => {
+        const { HttpPlatformStore } = await import('@tanagerusher/transport/store/http-platform-store')
+        return HttpPlatformStore.create({ url: settings.storeUrl, caller: settings.host })
+      }
+    }),
     logger: createLogger({ label: 'control', level: settings.logLevel, fields: { host: settings.host, dataCentre: settings.dataCentre } })
   })
 })
--- a/packages/control/src/process/control-process.ts
+++ b/packages/control/src/process/control-process.ts
@@ -156,7 +156,7 @@
     this.#budgets.start()
     this.#timers.push(setInterval(() => { this.#registry.sendMembership() }, MEMBERSHIP_EVERY_MS))
     this.#timers.push(setInterval(() => { void this.#readHints() }, HINTS_EVERY_MS))
-    await this.#readHints()
+    if (this.#settings.peers.length === 0) await this.#readHints()
   }
 
   #prepareConnection (connection: PeerConnection): void {
