--- /dev/null
+++ b/packages/control/src/budget/budget-task.ts
@@ -0,0 +1,152 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { MembershipView } from '@tanagerusher/coordination/membership/membership-view'
+import { BudgetMember, type BudgetEffect } from '@tanagerusher/coordination/budget/budget-member'
+import type { ShareTable } from '@tanagerusher/coordination/budget/share-table'
+import type { ConfigurationReplica } from '@tanagerusher/coordination/configuration/configuration-replica'
+import { budgetDelegate } from '@tanagerusher/protocol/peer/budget-delegate'
+import { budgetHandOver } from '@tanagerusher/protocol/peer/budget-hand-over'
+import { budgetRelease } from '@tanagerusher/protocol/peer/budget-release'
+import { budgetRequest, type BudgetRequestParams, type BudgetRequestResult } from '@tanagerusher/protocol/peer/budget-request'
+import { budgetReturn } from '@tanagerusher/protocol/peer/budget-return'
+import type { FleetMember } from '@tanagerusher/state/common/fleet-member'
+import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
+import type { PeerLinks } from '../peer/peer-links.js'
+
+interface CreateOptions {
+  clock: Clock
+  links: PeerLinks
+  view: MembershipView
+  shareTable: ShareTable
+}
+
+const TICK_MS = 200
+const REQUEST_TIMEOUT_MS = 500
+const NO_BUDGET_RETRY_MS = 100
+const HAND_OVER_CHECK_MS = 20
+
+/** Carries out what `BudgetMember` decides and passes entries' requests on to the homes. */
+export class BudgetTask {
+  readonly #options: CreateOptions
+  readonly #member: BudgetMember
+  readonly #organisations = new Set<string>()
+  #timer: NodeJS.Timeout | undefined
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+    this.#member = BudgetMember.create({ self: options.view.self, shareTable: options.shareTable })
+  }
+
+  static create (options: CreateOptions): BudgetTask {
+    return new BudgetTask(options)
+  }
+
+  /** Partitions that this host is home of. */
+  get partitions (): readonly number[] { return this.#member.partitions }
+
+  start (): void {
+    this.#timer = setInterval(() => { this.#carryOut(this.#member.tick(this.#readTime())) }, TICK_MS)
+  }
+
+  close (): void {
+    clearInterval(this.#timer)
+  }
+
+  prepareConnection (connection: PeerConnection): void {
+    connection.addMethod(budgetRequest, async (params) => await this.#handleRequest(connection, params))
+    connection.addMethod(budgetReturn, async ({ organisation, grantId, tokens }) => await this.#handleReturn(organisation, grantId, tokens))
+    connection.addMethod(budgetDelegate, async (params) => ({ ...this.#member.delegate(params, this.#readTime()) }))
+    connection.addMethod(budgetRelease, async (params) => {
+      this.#member.release(params)
+      return {}
+    })
+    connection.addMethod(budgetHandOver, async ({ outstanding }) => {
+      if (!this.#member.home.addForeignGrants(outstanding, this.#readTime())) throw new Error('an organisation is not known here yet')
+      return {}
+    })
+  }
+
+  /** Takes rates and bursts from the configuration. */
+  updateConfiguration (replica: ConfigurationReplica): void {
+    const now = this.#readTime()
+    const organisations = replica.list('organisation')
+    const names = new Set(organisations.map(({ name }) => name))
+    for (const name of this.#organisations) if (!names.has(name)) this.#member.home.updateLimits(name, undefined, now)
+    this.#organisations.clear()
+    for (const { name, value } of organisations) {
+      this.#organisations.add(name)
+      this.#member.home.updateLimits(name, value, now)
+    }
+  }
+
+  updateMembers (): void {
+    const now = this.#readTime()
+    this.#carryOut(this.#member.updateMembers(this.#options.view.listServing(now), now))
+  }
+
+  /** Waits until the partitions that were given up are with their next homes. */
+  async finishHandOver (): Promise<void> {
+    while (this.#member.handOvers > 0) await new Promise((resolve) => setTimeout(resolve, HAND_OVER_CHECK_MS))
+  }
+
+  #carryOut (effects: BudgetEffect[]): void {
+    for (const effect of effects) {
+      // A message that is lost costs time, not safety: what was delegated lapses by itself.
+      this.#send(effect).catch(() => {})
+    }
+  }
+
+  async #send (effect: BudgetEffect): Promise<void> {
+    if (effect.type === 'delegate') await this.#askForShare(effect)
+    else if (effect.type === 'hand-over') await this.#handOver(effect)
+    else if (effect.to === this.#options.view.self.incarnation) this.#member.release(effect.params)
+    else await (await this.#connect(this.#findByIncarnation(effect.to)))?.request(budgetRelease, { ...effect.params }, REQUEST_TIMEOUT_MS)
+  }
+
+  async #askForShare ({ to, params }: Extract<BudgetEffect, { type: 'delegate' }>): Promise<void> {
+    const connection = to === this.#options.view.self.incarnation ? undefined : await this.#connect(this.#findByIncarnation(to))
+    const sentAt = this.#readTime()
+    const answer = to === this.#options.view.self.incarnation
+      ? this.#member.delegate(params, sentAt)
+      : await connection?.request(budgetDelegate, { ...params }, REQUEST_TIMEOUT_MS)
+    if (answer !== undefined) this.#member.handleDelegateAnswer(params.partitions, answer, sentAt, this.#readTime())
+  }
+
+  async #handOver ({ handOverId, toHost, outstanding }: Extract<BudgetEffect, { type: 'hand-over' }>): Promise<void> {
+    const connection = await this.#connect(this.#findByHost(toHost))
+    if (connection === undefined) return
+    await connection.request(budgetHandOver, { outstanding }, REQUEST_TIMEOUT_MS)
+    this.#carryOut(this.#member.handleHandOverAnswer(handOverId, (await connection.remoteHello).incarnation))
+  }
+
+  async #handleRequest (connection: PeerConnection, params: BudgetRequestParams): Promise<BudgetRequestResult> {
+    const { role, incarnation } = await connection.remoteHello
+    const request = { ...params, holder: params.holder ?? incarnation }
+    const host = this.#member.findHome(params.organisation)
+    if (host === this.#options.view.self.host) return { ...this.#member.home.request(request, this.#readTime()) }
+    const home = role === 'control' || host === undefined ? undefined : await this.#connect(this.#findByHost(host))
+    return await home?.request(budgetRequest, request, REQUEST_TIMEOUT_MS) ?? { grantId: '', tokens: 0, validMs: 0, retryAfterMs: NO_BUDGET_RETRY_MS }
+  }
+
+  async #handleReturn (organisation: string, grantId: string, tokens: number): Promise<Record<string, never>> {
+    const incarnation = grantId.slice(0, grantId.lastIndexOf('/'))
+    if (incarnation === this.#options.view.self.incarnation) this.#member.home.returnGrant(organisation, grantId, tokens, this.#readTime())
+    else await (await this.#connect(this.#findByIncarnation(incarnation)))?.request(budgetReturn, { organisation, grantId, tokens }, REQUEST_TIMEOUT_MS)
+    return {}
+  }
+
+  async #connect (member: FleetMember | undefined): Promise<PeerConnection | undefined> {
+    return member === undefined ? undefined : await this.#options.links.connect(member.addresses.control)
+  }
+
+  #findByIncarnation (incarnation: string): FleetMember | undefined {
+    return this.#options.view.listMembers(this.#readTime()).find((member) => member.incarnation === incarnation)
+  }
+
+  #findByHost (host: string): FleetMember | undefined {
+    return this.#options.view.listMembers(this.#readTime()).find((member) => member.host === host)
+  }
+
+  #readTime (): number {
+    return this.#options.clock.readTime()
+  }
+}
