Check the group promises over random schedules of faults

Cause: failover, commit tracking, probes and floors were tested one fault at a time. The checker drives the modules of three hosts over a fake group with cuts, crashes, pauses, lag and lost answers, two and three at a time. Budgets and configuration are to be added.

--- /dev/null
+++ b/packages/checker/bin/tanagerusher-checker.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/src/main.js'
--- /dev/null
+++ b/packages/checker/src/common/violation.ts
@@ -0,0 +1,5 @@
+/** A promise that a schedule broke. */
+export interface Violation {
+  promise: string
+  detail: string
+}
--- /dev/null
+++ b/packages/checker/src/group/fake-member.ts
@@ -0,0 +1,99 @@
+import type { RaiseTermAnswer } from '@tanagerusher/coordination/common/database-group'
+import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
+import type { Position } from '@tanagerusher/state/position/position'
+
+export interface LogEntry {
+  term: number
+  /** Identifier of the work; empty for the first entry of a term. */
+  work: string
+}
+
+export type WriteAnswer = { type: 'written', position: Position } | { type: 'refused' }
+
+interface CreateOptions {
+  name: string
+  primary: string
+}
+
+/** In-memory database of a group: terms, promises and a log, as the platform describes them. */
+export class FakeMember {
+  readonly name: string
+  log: LogEntry[] = [{ term: 1, work: '' }]
+  promisedTerm = 1
+  role: 'primary' | 'replica'
+  primary: string | null
+  isRunning = true
+  linkHeardAt = 0
+
+  private constructor ({ name, primary }: CreateOptions) {
+    this.name = name
+    this.primary = primary
+    this.role = name === primary ? 'primary' : 'replica'
+  }
+
+  static create (options: CreateOptions): FakeMember {
+    return new FakeMember(options)
+  }
+
+  get end (): Position {
+    return { term: this.log.at(-1)?.term ?? 0, position: this.log.length }
+  }
+
+  buildStatus (now: number): DatabaseStatus {
+    const { term } = this.end
+    return {
+      database: this.name,
+      role: this.role,
+      promisedTerm: this.promisedTerm,
+      log: this.end,
+      termStart: this.log.findIndex((entry) => entry.term === term) + 1,
+      primary: this.primary,
+      linkSilentMs: this.role === 'primary' ? 0 : now - this.linkHeardAt,
+      connections: 0
+    }
+  }
+
+  /** Writes unless the database knows of a higher term. A repeated idempotency key gives the first position again. */
+  write (work: string): WriteAnswer {
+    if (this.role !== 'primary' || this.promisedTerm !== this.end.term) return { type: 'refused' }
+    const known = this.log.findIndex((entry) => entry.work === work)
+    if (known < 0) this.log.push({ term: this.end.term, work })
+    return { type: 'written', position: known < 0 ? this.end : { term: this.end.term, position: this.log.length } }
+  }
+
+  raiseTerm (term: number): RaiseTermAnswer {
+    const granted = term > this.promisedTerm
+    if (granted) this.promisedTerm = term
+    return { granted, promisedTerm: this.promisedTerm, log: this.end }
+  }
+
+  promote (term: number): boolean {
+    if (this.role === 'primary' && this.end.term === term) return true
+    if (this.promisedTerm !== term) return false
+    this.role = 'primary'
+    this.primary = this.name
+    this.log.push({ term, work: '' })
+    return true
+  }
+
+  follow (term: number, primary: string): boolean {
+    if (this.promisedTerm > term || (this.role === 'primary' && this.end.term >= term)) return false
+    this.promisedTerm = term
+    this.role = 'replica'
+    this.primary = primary
+    return true
+  }
+
+  /** Takes entries from the primary that it follows and truncates what that primary's log does not hold. */
+  replicateFrom (source: FakeMember, limit: number, now: number): void {
+    if (source.role !== 'primary' || source.end.term !== this.promisedTerm || this.primary !== source.name) return
+    this.linkHeardAt = now
+    let common = Math.min(this.log.length, source.log.length)
+    while (common > 0 && this.log[common - 1]?.term !== source.log[common - 1]?.term) common--
+    this.log = [...this.log.slice(0, common), ...source.log.slice(common, common + limit)]
+  }
+
+  readTermHistory (): Array<{ term: number, start: number }> {
+    return this.log.flatMap(({ term }, index) => term === this.log[index - 1]?.term ? [] : [{ term, start: index + 1 }])
+  }
+}
--- /dev/null
+++ b/packages/checker/src/group/group-network.ts
@@ -0,0 +1,120 @@
+import type { EventQueue } from '../common/event-queue.js'
+import type { FakeMember } from './fake-member.js'
+
+const REPLICATION_BATCH_ENTRIES = 3
+const REFUSAL_MS = 1
+
+type CallOutcome<Answer> = { type: 'answered', answer: Answer } | { type: 'lost' } | { type: 'refused' }
+
+interface CreateOptions {
+  queue: EventQueue
+  members: FakeMember[]
+  hostCount: number
+}
+
+/** Carries calls between hosts and members and the replication between members; every path can be cut, slow or lossy. */
+export class GroupNetwork {
+  readonly members: FakeMember[]
+  lossPercent = 0
+  replicationMs = 20
+  readonly #queue: EventQueue
+  readonly #cutHosts = new Set<string>()
+  readonly #cutMembers = new Set<string>()
+  readonly #hostCount: number
+  readonly #pausedUntil = new Map<number, number>()
+
+  private constructor ({ queue, members, hostCount }: CreateOptions) {
+    this.#queue = queue
+    this.members = members
+    this.#hostCount = hostCount
+  }
+
+  static create (options: CreateOptions): GroupNetwork {
+    const network = new GroupNetwork(options)
+    network.#replicate()
+    return network
+  }
+
+  findMember (name: string): FakeMember {
+    return this.members.find((member) => member.name === name) as FakeMember
+  }
+
+  /**
+   * Runs `call` at the member and answers the host. The answer can be lost after the call took effect. A paused host
+   * sends and receives when it resumes.
+   */
+  call<Answer> (host: number, name: string, call: (member: FakeMember) => Answer, timeoutMs: number, handle: (outcome: CallOutcome<Answer>) => void): void {
+    let ended = false
+    const end = (outcome: CallOutcome<Answer>): void => {
+      if (ended) return
+      ended = true
+      this.#whenAwake(host, () => { handle(outcome) })
+    }
+    this.#queue.add(timeoutMs, () => { end({ type: 'lost' }) })
+    this.#whenAwake(host, () => {
+      this.#queue.add(this.#queue.chooseNumber(1, 40), () => { this.#deliver(host, name, call, end) })
+    })
+  }
+
+  cutHost (host: number, name: string): void {
+    this.#cutHosts.add(`${host}/${name}`)
+  }
+
+  cutMember (name: string, direction: 'both' | 'to-others' | 'from-others'): void {
+    for (const { name: other } of this.members) {
+      if (direction !== 'from-others') this.#cutMembers.add(`${name}/${other}`)
+      if (direction !== 'to-others') this.#cutMembers.add(`${other}/${name}`)
+    }
+  }
+
+  /** A member and one host on one side, all else on the other. */
+  cutSide (host: number, name: string): void {
+    this.cutMember(name, 'both')
+    for (let other = 0; other < this.#hostCount; other++) if (other !== host) this.cutHost(other, name)
+    for (const { name: other } of this.members) if (other !== name) this.cutHost(host, other)
+  }
+
+  heal (): void {
+    this.#cutHosts.clear()
+    this.#cutMembers.clear()
+    this.lossPercent = 0
+    this.replicationMs = 20
+  }
+
+  pauseHost (host: number, forMs: number): void {
+    this.#pausedUntil.set(host, Math.max(this.#pausedUntil.get(host) ?? 0, this.#queue.now + forMs))
+  }
+
+  isPaused (host: number): boolean {
+    return (this.#pausedUntil.get(host) ?? 0) > this.#queue.now
+  }
+
+  #deliver<Answer> (host: number, name: string, call: (member: FakeMember) => Answer, end: (outcome: CallOutcome<Answer>) => void): void {
+    if (this.#cutHosts.has(`${host}/${name}`)) return
+    const member = this.findMember(name)
+    if (!member.isRunning) {
+      this.#queue.add(REFUSAL_MS, () => { end({ type: 'refused' }) })
+      return
+    }
+    const answer = call(member)
+    if (this.#queue.chooseNumber(1, 100) <= this.lossPercent) return
+    this.#queue.add(this.#queue.chooseNumber(1, 40), () => { if (!this.#cutHosts.has(`${host}/${name}`)) end({ type: 'answered', answer }) })
+  }
+
+  #whenAwake (host: number, run: () => void): void {
+    const until = this.#pausedUntil.get(host) ?? 0
+    if (until <= this.#queue.now) run()
+    else this.#queue.add(until - this.#queue.now, () => { this.#whenAwake(host, run) })
+  }
+
+  #replicate (): void {
+    for (const source of this.members) {
+      for (const target of this.members) {
+        const isCut = this.#cutMembers.has(`${source.name}/${target.name}`) || this.#cutMembers.has(`${target.name}/${source.name}`)
+        if (source === target || isCut || !source.isRunning || !target.isRunning) continue
+        target.replicateFrom(source, REPLICATION_BATCH_ENTRIES, this.#queue.now)
+      }
+    }
+    this.#queue.add(this.replicationMs, () => { this.#replicate() })
+  }
+}
--- a/packages/coordination/src/failover/group-monitor.ts
+++ b/packages/coordination/src/failover/group-monitor.ts
@@ -50,6 +50,8 @@
   #suspectedAt: number | undefined
   #promoting = false
   #notBefore = 0
+  /** Statuses of the members that gave one; rebuilt after a change. */
+  #statuses: DatabaseStatus[] | undefined
   /** Since when the highest known term has no working primary, and which term that is. */
   #unsettled: { term: number, since: number } | undefined
 
@@ -88,19 +90,23 @@
 
   /** Primary of the highest term that was written, fenced or not. */
   findPrimary (): DatabaseStatus | undefined {
-    return this.#listStatuses()
-      .filter(({ role }) => role === 'primary')
-      .sort((left, right) => right.log.term - left.log.term)[0]
+    let primary: DatabaseStatus | undefined
+    for (const status of this.#listStatuses()) {
+      if (status.role === 'primary' && (primary === undefined || status.log.term > primary.log.term)) primary = status
+    }
+    return primary
   }
 
   #listStatuses (): DatabaseStatus[] {
-    return [...this.#members.values()].flatMap(({ status }) => status ?? [])
+    this.#statuses ??= [...this.#members.values()].flatMap(({ status }) => status ?? [])
+    return this.#statuses
   }
 
   #applyStatus (status: DatabaseStatus, now: number): void {
     const member = this.#members.get(status.database)
     if (member === undefined) return
     Object.assign(member, { status, heardAt: now, refusedAt: undefined })
+    this.#statuses = undefined
   }
 
   #applyRefused (database: string, now: number): void {
@@ -109,6 +115,7 @@
   }
 
   #replaceMembers (members: readonly string[], now: number): void {
+    this.#statuses = undefined
     for (const database of this.#members.keys()) if (!members.includes(database)) this.#members.delete(database)
     for (const database of members) {
       if (!this.#members.has(database)) this.#members.set(database, { status: undefined, heardAt: now, refusedAt: undefined, repairAt: undefined })
