Add the database stand-in

Cause: pool, entry and experiments need upstream groups with terms, positions, asynchronous replication and faults that can be switched at run time. Before: no program. Conclusion: statements are parsed by pgsql-ast-parser once per text without its literals, compiled to closures and run over an in-memory ledger with row locks. The package depends on transport for its frame codec.

--- /dev/null
+++ b/packages/database/src/http/control-server.ts
@@ -0,0 +1,48 @@
+import type { AddressInfo } from 'node:net'
+import fastify, { type FastifyInstance } from 'fastify'
+import { databaseFaultsSchema } from '../faults/database-faults.js'
+import type { FaultState } from '../faults/fault-state.js'
+
+interface OpenOptions {
+  address: string
+  port: number
+  faults: FaultState
+  /** Applies crashes and restarts; resolves when they are done. */
+  applyCrashes: () => Promise<void>
+  readStatuses: () => unknown
+}
+
+/** Control port: faults, and the status of the databases without a connection to them. */
+export class ControlServer {
+  readonly #app: FastifyInstance
+
+  private constructor (app: FastifyInstance) {
+    this.#app = app
+  }
+
+  static async open ({ address, port, faults, applyCrashes, readStatuses }: OpenOptions): Promise<ControlServer> {
+    const app = fastify({ forceCloseConnections: true })
+    app.get('/faults', () => faults.faults)
+    app.put('/faults', async (request, reply) => {
+      const parsed = databaseFaultsSchema.safeParse(request.body)
+      if (!parsed.success) {
+        const issue = parsed.error.issues[0]
+        return await reply.code(400).send({ kind: 'settings-invalid', message: issue?.message, path: issue?.path.join('.') })
+      }
+      faults.replace(parsed.data)
+      await applyCrashes()
+      return faults.faults
+    })
+    app.get('/status', () => ({ databases: readStatuses() }))
+    await app.listen({ host: address, port })
+    return new ControlServer(app)
+  }
+
+  get port (): number {
+    return (this.#app.server.address() as AddressInfo).port
+  }
+
+  async close (): Promise<void> {
+    await this.#app.close()
+  }
+}
--- /dev/null
+++ b/packages/database/src/ledger/type-identifiers.ts
@@ -0,0 +1,13 @@
+import type { ColumnType } from './column-type.js'
+
+/** Object identifiers of PostgreSQL's types, as RowDescription carries them. */
+export const typeIdentifiers: Record<ColumnType, number> = {
+  text: 25,
+  integer: 23,
+  bigint: 20,
+  numeric: 1700,
+  boolean: 16,
+  timestamptz: 1184,
+  jsonb: 3802,
+  bytea: 17
+}
--- /dev/null
+++ b/packages/database/src/ledger/value.ts
@@ -0,0 +1,2 @@
+/** Value of a column. */
+export type Value = string | number | boolean | null
--- /dev/null
+++ b/packages/database/src/member/database-member.ts
@@ -0,0 +1,204 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { RaiseTermAnswer } from '@tanagerusher/coordination/common/database-group'
+import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
+import type { Position } from '@tanagerusher/state/position/position'
+import type { Change } from '../ledger/change.js'
+import { Ledger } from '../ledger/ledger.js'
+import { SqlError } from '../ledger/sql-error.js'
+import { Transaction } from '../ledger/transaction.js'
+import type { LogEntry } from '../replication/log-entry.js'
+import { ReplicatedLog } from '../replication/replicated-log.js'
+import type { TermStart } from '../replication/term-start.js'
+import type { Journal, JournalRecord } from './journal.js'
+
+interface CreateOptions {
+  name: string
+  clock: Clock
+  /** Primary of term 1. */
+  initialPrimary: string
+  /** Changes of the first log entry, equal at all members. */
+  initialChanges: Change[]
+  journal?: Journal
+}
+
+const FIRST_TERM = 1
+
+/**
+ * State of one database of a group: promised term, role, log and ledger. It resembles a Raft voter whose candidates are
+ * outside: `raiseTerm` is the vote, `promote` makes it the primary of the promised term, `follow` a replica.
+ */
+export class DatabaseMember {
+  readonly name: string
+  readonly ledger = Ledger.create()
+  readonly #clock: Clock
+  readonly #journal: Journal | undefined
+  readonly #log = ReplicatedLog.create()
+  readonly #listeners = new Set<() => void>()
+  readonly #locks = new Map<string, Transaction>()
+  #promisedTerm = FIRST_TERM
+  #role: 'primary' | 'replica'
+  #primary: string | null
+  #linkHeardAt: number
+  connections = 0
+
+  private constructor ({ name, clock, initialPrimary, initialChanges, journal }: CreateOptions) {
+    this.name = name
+    this.#clock = clock
+    this.#journal = journal
+    this.#role = name === initialPrimary ? 'primary' : 'replica'
+    this.#primary = initialPrimary
+    this.#linkHeardAt = clock.readTime()
+    const records = journal?.read() ?? []
+    if (records.length === 0) this.#append({ term: FIRST_TERM, changes: initialChanges })
+    else for (const record of records) this.#replay(record)
+  }
+
+  static create (options: CreateOptions): DatabaseMember {
+    return new DatabaseMember(options)
+  }
+
+  get promisedTerm (): number { return this.#promisedTerm }
+  get role (): 'primary' | 'replica' { return this.#role }
+  get primary (): string | null { return this.#primary }
+  get last (): Position { return this.#log.last }
+
+  /** Calls `listener` after every change of log, promise or role, until the returned function is called. */
+  watch (listener: () => void): () => void {
+    this.#listeners.add(listener)
+    return () => { this.#listeners.delete(listener) }
+  }
+
+  readStatus (): DatabaseStatus {
+    return {
+      database: this.name,
+      role: this.#role,
+      promisedTerm: this.#promisedTerm,
+      log: this.#log.last,
+      termStart: this.#log.termStart,
+      primary: this.#primary,
+      linkSilentMs: this.#role === 'primary' ? 0 : Math.round(this.#clock.readTime() - this.#linkHeardAt),
+      connections: this.connections
+    }
+  }
+
+  /** Granted only when `term` is higher than any promised before; a primary of a lower term is deposed. */
+  raiseTerm (term: number): RaiseTermAnswer {
+    const granted = term > this.#promisedTerm
+    if (granted) this.#changeState(term, 'replica', null)
+    return { granted, promisedTerm: this.#promisedTerm, log: this.#log.last }
+  }
+
+  /** Makes the database the primary of the term that it has promised. Refused while it follows another in that term. */
+  promote (term: number): boolean {
+    if (term !== this.#promisedTerm) return false
+    if (this.#role === 'primary') return true
+    if (this.#primary !== null || this.#log.last.term >= term) return false
+    this.#changeState(term, 'primary', this.name)
+    this.#append({ term, changes: [] })
+    this.#notify()
+    return true
+  }
+
+  /** Follows a primary in `term`; a higher term than the promised one is promised with it. */
+  follow (term: number, primary: string): boolean {
+    if (term < this.#promisedTerm || primary === this.name) return false
+    if (term === this.#promisedTerm && this.#primary !== null) return this.#primary === primary
+    this.#changeState(term, 'replica', primary)
+    return true
+  }
+
+  /**
+   * Stops a primary that heard of a higher term from another database. The promise stays, so that the candidate of that
+   * term can still win this database's vote.
+   */
+  hearTerm (term: number): void {
+    if (term > this.#promisedTerm && this.#role === 'primary') this.#changeState(this.#promisedTerm, 'replica', null)
+  }
+
+  begin (readOnly: boolean): Transaction {
+    const term = this.#promisedTerm
+    return Transaction.create({
+      ledger: this.ledger,
+      locks: this.#locks,
+      readOnly,
+      // A database that was deposed and promoted again must not commit what began before.
+      isWritable: () => this.#role === 'primary' && this.#promisedTerm === term,
+      commit: (changes) => { this.#commit(changes) }
+    })
+  }
+
+  listHistory (): TermStart[] {
+    return this.#log.listHistory()
+  }
+
+  readEntries (position: number, limit: number): LogEntry[] {
+    return this.#log.readAfter(position, limit)
+  }
+
+  /** Whether a message from `primary` in `term` may change this database. */
+  isFollowing (term: number, primary: string): boolean {
+    return this.#role === 'replica' && this.#promisedTerm === term && this.#primary === primary
+  }
+
+  /** Records that the replication link carried something. */
+  recordLinkActivity (): void {
+    this.#linkHeardAt = this.#clock.readTime()
+  }
+
+  /** Removes what the followed primary's log does not hold. */
+  truncate (position: number): void {
+    if (position >= this.#log.position) return
+    this.ledger.revert(this.#log.truncate(position))
+    this.#journal?.append({ type: 'truncate', position })
+    this.#notify()
+  }
+
+  /** Appends entries that the followed primary sent; `after` is the position before the first. False when they do not fit. */
+  receiveEntries (after: number, entries: readonly LogEntry[]): boolean {
+    if (after !== this.#log.position) return false
+    for (const entry of entries) this.#append(entry)
+    this.#notify()
+    return true
+  }
+
+  close (): void {
+    this.#journal?.close()
+  }
+
+  #commit (changes: Change[]): void {
+    if (this.#role !== 'primary') throw SqlError.create('25006', 'cannot commit writes: this database is not the primary')
+    this.#append({ term: this.#promisedTerm, changes })
+    this.#notify()
+  }
+
+  #append (entry: LogEntry): void {
+    this.#journal?.append({ type: 'entry', entry })
+    this.#apply(entry)
+  }
+
+  #apply (entry: LogEntry): void {
+    this.#log.append(entry, this.ledger.apply(entry.changes, this.#log.position + 1))
+  }
+
+  #changeState (promisedTerm: number, role: 'primary' | 'replica', primary: string | null): void {
+    this.#promisedTerm = promisedTerm
+    this.#role = role
+    this.#primary = primary
+    this.#journal?.append({ type: 'state', promisedTerm, role, primary })
+    this.#notify()
+  }
+
+  #replay (record: JournalRecord): void {
+    if (record.type === 'entry') this.#apply(record.entry)
+    else if (record.type === 'truncate') this.ledger.revert(this.#log.truncate(record.position))
+    else {
+      this.#promisedTerm = record.promisedTerm
+      this.#role = record.role
+      this.#primary = record.primary
+    }
+  }
+
+  #notify (): void {
+    for (const listener of [...this.#listeners]) listener()
+  }
+}
--- /dev/null
+++ b/packages/database/src/member/journal.ts
@@ -0,0 +1,14 @@
+import type { LogEntry } from '../replication/log-entry.js'
+
+/** Durable record of a database. The records in order lead to its state. */
+export type JournalRecord =
+  | { type: 'entry', entry: LogEntry }
+  | { type: 'truncate', position: number }
+  | { type: 'state', promisedTerm: number, role: 'primary' | 'replica', primary: string | null }
+
+/** Keeps the records of one database over a restart of the process. */
+export interface Journal {
+  read(): JournalRecord[]
+  append(record: JournalRecord): void
+  close(): void
+}
--- /dev/null
+++ b/packages/database/src/replication/follower-task.ts
@@ -0,0 +1,148 @@
+import { connect, type Socket } from 'node:net'
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { FaultState } from '../faults/fault-state.js'
+import type { DatabaseMember } from '../member/database-member.js'
+import { LagQueue } from './lag-queue.js'
+import type { LogEntry } from './log-entry.js'
+import { ReplicationLink } from './replication-link.js'
+import type { ReplicationMessage } from './replication-message.js'
+
+interface CreateOptions {
+  member: DatabaseMember
+  faults: FaultState
+  clock: Clock
+  findAddress: (database: string) => { address: string, port: number } | undefined
+  computeLatencyMs: (remote: string) => number
+}
+
+interface Subscription {
+  term: number
+  primary: string
+  link: ReplicationLink
+  lag: LagQueue<{ after: number, entries: LogEntry[] }>
+}
+
+const RETRY_MS = 50
+const FAREWELL_MS = 1000
+
+/** Keeps a link from a replica to the primary that it follows, and applies what arrives. */
+export class FollowerTask {
+  readonly #options: CreateOptions
+  readonly #unwatch: Array<() => void>
+  readonly #links = new Set<ReplicationLink>()
+  #subscription: Subscription | undefined
+  #retry: NodeJS.Timeout | undefined
+  #stopped = true
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+    this.#unwatch = [
+      options.member.watch(() => { this.#update() }),
+      options.faults.watch(() => { this.#subscription?.lag.update() })
+    ]
+  }
+
+  static create (options: CreateOptions): FollowerTask {
+    return new FollowerTask(options)
+  }
+
+  start (): void {
+    this.#stopped = false
+    this.#update()
+  }
+
+  /** Drops the link, as a crash does. */
+  stop (): void {
+    this.#stopped = true
+    clearTimeout(this.#retry)
+    for (const link of this.#links) link.destroy()
+  }
+
+  close (): void {
+    for (const unwatch of this.#unwatch) unwatch()
+    this.stop()
+  }
+
+  #update (): void {
+    if (this.#stopped) return
+    const { member } = this.#options
+    const current = this.#subscription
+    if (current !== undefined && !member.isFollowing(current.term, current.primary)) this.#leave(current)
+    if (this.#subscription === undefined && member.role === 'replica' && member.primary !== null) this.#subscribe(member.promisedTerm, member.primary)
+  }
+
+  /** Tells the primary of a lower term that it was deposed, in case nobody else reaches it. */
+  #leave (subscription: Subscription): void {
+    const { link, lag } = subscription
+    this.#subscription = undefined
+    lag.close()
+    link.send({ type: 'stale', term: this.#options.member.promisedTerm })
+    setTimeout(() => { link.destroy() }, FAREWELL_MS).unref()
+  }
+
+  #subscribe (term: number, primary: string): void {
+    const target = this.#options.findAddress(primary)
+    if (target === undefined) return
+    const socket = connect({ host: target.address, port: target.port })
+    const link = this.#createLink(socket, primary)
+    const lag = this.#createLagQueue(primary)
+    this.#subscription = { term, primary, link, lag }
+    this.#links.add(link)
+    socket.once('connect', () => {
+      const { member } = this.#options
+      if (!member.isFollowing(term, primary)) return
+      link.send({ type: 'follow', from: member.name, to: primary, term, history: member.listHistory(), position: member.last.position })
+    })
+  }
+
+  #createLink (socket: Socket, primary: string): ReplicationLink {
+    const { member, faults, computeLatencyMs } = this.#options
+    const link: ReplicationLink = ReplicationLink.create({
+      socket,
+      local: member.name,
+      remote: primary,
+      faults,
+      computeLatencyMs,
+      handleMessage: (message) => { if (this.#subscription?.link === link) this.#handle(this.#subscription, message) },
+      handleClose: () => { this.#handleClose(link) }
+    })
+    return link
+  }
+
+  #createLagQueue (primary: string): LagQueue<{ after: number, entries: LogEntry[] }> {
+    const { member, faults, clock } = this.#options
+    return LagQueue.create({
+      readTime: () => clock.readTime(),
+      readLagMs: () => faults.readLagMs(primary, member.name),
+      deliver: ({ after, entries }) => { this.#apply(after, entries) }
+    })
+  }
+
+  #handle (subscription: Subscription, message: ReplicationMessage): void {
+    const { member } = this.#options
+    const { term, primary, link, lag } = subscription
+    if (!member.isFollowing(term, primary)) return
+    member.recordLinkActivity()
+    if (message.type === 'accept') member.truncate(message.position)
+    else if (message.type === 'entries') lag.push(message)
+    else if (message.type === 'refuse') link.destroy()
+  }
+
+  #apply (after: number, entries: LogEntry[]): void {
+    const { member } = this.#options
+    const subscription = this.#subscription
+    if (subscription === undefined || !member.isFollowing(subscription.term, subscription.primary)) return
+    if (member.receiveEntries(after, entries)) subscription.link.send({ type: 'ack', position: member.last.position })
+    else subscription.link.destroy()
+  }
+
+  #handleClose (link: ReplicationLink): void {
+    this.#links.delete(link)
+    if (this.#subscription?.link !== link) return
+    this.#subscription.lag.close()
+    this.#subscription = undefined
+    if (this.#stopped) return
+    clearTimeout(this.#retry)
+    this.#retry = setTimeout(() => { this.#update() }, RETRY_MS)
+  }
+}
--- /dev/null
+++ b/packages/database/src/replication/replication-link.ts
@@ -0,0 +1,90 @@
+import type { Socket } from 'node:net'
+import { FrameCodec } from '@tanagerusher/transport/peer/frame-codec'
+import type { FaultState } from '../faults/fault-state.js'
+import { HeldChannel } from '../faults/held-channel.js'
+import type { ReplicationMessage } from './replication-message.js'
+
+interface CreateOptions {
+  socket: Socket
+  /** Database at this end. */
+  local: string
+  /** Database at the other end, when it is known already. */
+  remote?: string
+  faults: FaultState
+  computeLatencyMs: (remote: string) => number
+  handleMessage: (message: ReplicationMessage) => void
+  handleClose: () => void
+}
+
+/** One end of a replication link. It owns the socket and applies partitions, pauses and latency to the messages. */
+export class ReplicationLink {
+  readonly #options: CreateOptions
+  readonly #codec = FrameCodec.create()
+  readonly #inbound: HeldChannel<ReplicationMessage>
+  readonly #unwatch: () => void
+  #outbound: HeldChannel<Buffer> | undefined
+  #remote: string | undefined
+
+  private constructor (options: CreateOptions) {
+    const { socket, local, faults } = options
+    this.#options = options
+    this.#inbound = HeldChannel.create({
+      delayMs: 0,
+      isBlocked: () => faults.isPaused(local) || faults.isLinkBlocked(this.#remote ?? '', local),
+      deliver: (message) => { options.handleMessage(message) }
+    })
+    this.#unwatch = faults.watch(() => {
+      this.#inbound.release()
+      this.#outbound?.release()
+    })
+    if (options.remote !== undefined) this.#setRemote(options.remote)
+    socket.setNoDelay(true)
+    socket.on('data', (bytes: Buffer) => { this.#receive(bytes) })
+    socket.on('error', () => { socket.destroy() })
+    socket.once('close', () => { this.#handleClose() })
+  }
+
+  static create (options: CreateOptions): ReplicationLink {
+    return new ReplicationLink(options)
+  }
+
+  get remote (): string | undefined { return this.#remote }
+  /** Whether messages wait for a partition or a pause to end. */
+  get isHolding (): boolean { return this.#outbound?.isHolding ?? false }
+
+  send (message: ReplicationMessage): void {
+    this.#outbound?.push(this.#codec.encode(message))
+  }
+
+  destroy (): void {
+    this.#options.socket.destroy()
+  }
+
+  #setRemote (remote: string): void {
+    const { socket, local, faults, computeLatencyMs } = this.#options
+    this.#remote = remote
+    this.#outbound = HeldChannel.create({
+      delayMs: computeLatencyMs(remote),
+      isBlocked: () => faults.isPaused(local) || faults.isLinkBlocked(local, remote),
+      deliver: (bytes) => { if (!socket.destroyed) socket.write(bytes) }
+    })
+  }
+
+  #receive (bytes: Buffer): void {
+    try {
+      for (const message of this.#codec.decode(bytes) as ReplicationMessage[]) {
+        if (message.type === 'follow' && this.#remote === undefined) this.#setRemote(message.from)
+        this.#inbound.push(message)
+      }
+    } catch {
+      this.destroy()
+    }
+  }
+
+  #handleClose (): void {
+    this.#unwatch()
+    this.#inbound.close()
+    this.#outbound?.close()
+    this.#options.handleClose()
+  }
+}
--- /dev/null
+++ b/packages/database/src/sql/plan.ts
@@ -0,0 +1,26 @@
+import type { ColumnType } from '../ledger/column-type.js'
+import type { Value } from '../ledger/value.js'
+import type { Expression } from './expression.js'
+import type { RunContext } from './run-context.js'
+import type { ScopeColumn } from './scope.js'
+
+export interface PlanResult {
+  /** Rows that the statement changed; a query counts its rows as they are sent. */
+  count: number
+  rows: Iterable<readonly Value[]> | null
+}
+
+/** Compiled statement. */
+export interface Plan {
+  command: 'SELECT' | 'INSERT' | 'UPDATE' | 'DELETE' | 'CREATE TABLE'
+  /** Columns of the result; null when there is none. */
+  columns: readonly ScopeColumn[] | null
+  parameterTypes: ColumnType[]
+  /** Whether the statement needs a transaction that may write. */
+  isWrite: boolean
+  /** Control function that must answer before the statement runs. */
+  control: { name: string, parameters: Expression[] } | null
+  /** Seconds that the statement takes at least. */
+  sleepSeconds: Expression | null
+  run: (context: RunContext) => PlanResult
+}
--- /dev/null
+++ b/packages/database/src/sql/run-context.ts
@@ -0,0 +1,11 @@
+import type { Transaction } from '../ledger/transaction.js'
+import type { Value } from '../ledger/value.js'
+
+/** What a compiled statement runs with. */
+export interface RunContext {
+  transaction: Transaction
+  parameters: readonly Value[]
+  /** Rows that the control function of the statement returned. */
+  controlRows: ReadonlyArray<readonly Value[]>
+  readSetting: (name: string) => string | null
+}
--- /dev/null
+++ b/packages/database/src/sql/scope.ts
@@ -0,0 +1,77 @@
+import type { ColumnType } from '../ledger/column-type.js'
+import { SqlError } from '../ledger/sql-error.js'
+import type { Value } from '../ledger/value.js'
+import type { Expression } from './expression.js'
+
+export interface ScopeColumn {
+  name: string
+  type: ColumnType
+}
+
+/** Aggregate function of a select list: its argument and how values are combined. */
+export interface Aggregate {
+  start: () => Value
+  add: (state: Value, value: Value) => Value
+  argument: Expression | null
+}
+
+interface CreateOptions {
+  columns: readonly ScopeColumn[]
+  /** Names that may qualify a column: the table and its alias. */
+  qualifiers?: readonly string[]
+  /** Types of the literals that became parameters; literals follow the client's parameters. */
+  parameterCount: number
+  literals: ReadonlyArray<string | number>
+  /** Shared by all scopes of one statement. */
+  parameterTypes: Array<ColumnType | undefined>
+}
+
+/** What names and parameters mean while a statement is compiled. */
+export class Scope {
+  readonly columns: readonly ScopeColumn[]
+  readonly parameterTypes: Array<ColumnType | undefined>
+  /** Aggregates found so far; their results follow the columns of the row. Undefined where none is allowed. */
+  aggregates: Aggregate[] | undefined
+  readonly #options: CreateOptions
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+    this.columns = options.columns
+    this.parameterTypes = options.parameterTypes
+  }
+
+  static create (options: CreateOptions): Scope {
+    return new Scope(options)
+  }
+
+  /** @throws SqlError 42703 or 42P01. */
+  findColumn (name: string, qualifier: string | undefined): number {
+    if (qualifier !== undefined && !(this.#options.qualifiers ?? []).includes(qualifier)) {
+      throw SqlError.create('42P01', `missing FROM-clause entry for table "${qualifier}"`)
+    }
+    const index = this.columns.findIndex((column) => column.name === name)
+    if (index < 0) throw SqlError.create('42703', `column "${name}" does not exist`)
+    return index
+  }
+
+  /** Decides the type of a parameter at its first use: the context's, else the literal's, else text. */
+  chooseParameterType (index: number, expected: ColumnType | undefined): ColumnType {
+    const known = this.parameterTypes[index]
+    if (known !== undefined) return known
+    const literal = this.#options.literals[index - this.#options.parameterCount]
+    const type = typeof literal === 'number' ? chooseNumberType(literal, expected) : expected ?? 'text'
+    this.parameterTypes[index] = type
+    return type
+  }
+
+  /** Whether the parameter takes its type from its context. */
+  isUntypedParameter (index: number): boolean {
+    return typeof this.#options.literals[index - this.#options.parameterCount] !== 'number'
+  }
+}
+
+function chooseNumberType (literal: number, expected: ColumnType | undefined): ColumnType {
+  if (!Number.isInteger(literal)) return expected === 'text' ? 'text' : 'numeric'
+  if (expected !== undefined && expected !== 'boolean') return expected
+  return Math.abs(literal) > 0x7fff_ffff ? 'bigint' : 'integer'
+}
--- /dev/null
+++ b/packages/database/src/sql/split-statements.ts
@@ -0,0 +1,110 @@
+/** One statement of a query text, without comments, and the literals that were taken out of it. */
+export interface StatementText {
+  /** The statement as it was written, without comments. */
+  text: string
+  /** The statement with parameters in the place of its literals; the same for statements that differ only in them. */
+  template: string
+  /** Number of parameters of the client; literals are numbered after them. */
+  parameterCount: number
+  literals: Array<string | number>
+}
+
+// Comment, dollar quote, string, quoted identifier, parameter, number, word, or any other character.
+const TOKEN = /--[^\n]*|\/\*|\$(\w*)\$|'(?:[^']|'')*'|"(?:[^"]|"")*"|\$\d+|(?:\d+\.?\d*|\.\d+)(?:[eE][+-]?\d+)?|[A-Za-z_]\w*|\s+|./gys
+
+/**
+ * Splits a query text at its semicolons. Literals are taken out so that parsed statements can be kept: parsing costs
+ * more than running a simple statement. Comments vary with every request (sqlcommenter) and are dropped.
+ */
+export function splitStatements (query: string): StatementText[] {
+  const statements: StatementText[] = []
+  let builder = StatementBuilder.create()
+  const finish = (): void => {
+    const statement = builder.build()
+    if (statement !== undefined) statements.push(statement)
+    builder = StatementBuilder.create()
+  }
+  TOKEN.lastIndex = 0
+  for (let match = TOKEN.exec(query); match !== null; match = TOKEN.exec(query)) {
+    const token = match[0]
+    if (token.startsWith('--')) continue
+    if (token === '/*') TOKEN.lastIndex = findCommentEnd(query, TOKEN.lastIndex)
+    else if (token === ';') finish()
+    else if (match[1] !== undefined) builder.add(readDollarQuote(query, token, TOKEN))
+    else builder.add(token)
+  }
+  finish()
+  return statements
+}
+
+class StatementBuilder {
+  #parts: Array<string | { literal: string | number, text: string }> = []
+  #parameterCount = 0
+  #takeNumbers = true
+  #takeLiterals = true
+
+  static create (): StatementBuilder {
+    return new StatementBuilder()
+  }
+
+  add (token: string): void {
+    const first = token.charCodeAt(0)
+    if (first === 39) this.#addString(token)
+    else if ((first >= 48 && first <= 57) || (first === 46 && token.length > 1)) this.#addNumber(token)
+    else this.#addOther(token)
+  }
+
+  build (): StatementText | undefined {
+    const text = this.#parts.map((part) => typeof part === 'string' ? part : part.text).join('').trim()
+    if (text === '') return undefined
+    const literals: Array<string | number> = []
+    const template = this.#parts.map((part) => {
+      if (typeof part === 'string') return part
+      literals.push(part.literal)
+      return `$${this.#parameterCount + literals.length}`
+    }).join('').trim()
+    return { text, template, parameterCount: this.#parameterCount, literals }
+  }
+
+  #addString (token: string): void {
+    if (this.#takeLiterals) this.#parts.push({ literal: token.slice(1, -1).replaceAll("''", "'"), text: token })
+    else this.#parts.push(token)
+    this.#takeLiterals = true
+  }
+
+  #addNumber (token: string): void {
+    if (this.#takeNumbers) this.#parts.push({ literal: Number(token), text: token })
+    else this.#parts.push(token)
+  }
+
+  #addOther (token: string): void {
+    if (token.startsWith('$')) this.#parameterCount = Math.max(this.#parameterCount, Number(token.slice(1)) || 0)
+    const word = token.toLowerCase()
+    // Numbers after ORDER BY and GROUP BY are column positions, not values.
+    if (word === 'by') this.#takeNumbers = false
+    else if (word === 'limit' || word === 'offset' || word === ')') this.#takeNumbers = true
+    // E'...' has escapes and DATE '...' names a type: such strings stay in the text.
+    if (/^\w/.test(token)) this.#takeLiterals = !/^(e|b|x|u|date|time|timestamp|timestamptz|interval)$/.test(word)
+    this.#parts.push(token)
+  }
+}
+
+function findCommentEnd (query: string, start: number): number {
+  let depth = 1
+  let index = start
+  while (index < query.length && depth > 0) {
+    const pair = query.slice(index, index + 2)
+    if (pair === '*/') depth--
+    if (pair === '/*') depth++
+    index += pair === '*/' || pair === '/*' ? 2 : 1
+  }
+  return index
+}
+
+function readDollarQuote (query: string, tag: string, token: RegExp): string {
+  const start = token.lastIndex
+  const end = query.indexOf(tag, start)
+  const stop = end < 0 ? query.length : end
+  token.lastIndex = Math.min(query.length, stop + tag.length)
+  return `'${query.slice(start, stop).replaceAll("'", "''")}'`
+}
--- /dev/null
+++ b/packages/database/src/wire/find-type-by-identifier.ts
@@ -0,0 +1,11 @@
+import type { ColumnType } from '../ledger/column-type.js'
+
+const TYPES = new Map<number, ColumnType>([
+  [16, 'boolean'], [17, 'bytea'], [20, 'bigint'], [21, 'integer'], [23, 'integer'], [25, 'text'], [114, 'jsonb'], [700, 'numeric'],
+  [701, 'numeric'], [1043, 'text'], [1114, 'timestamptz'], [1184, 'timestamptz'], [1700, 'numeric'], [3802, 'jsonb']
+])
+
+/** Column type of a type identifier in Parse; undefined when the type is left to the statement. */
+export function findTypeByIdentifier (identifier: number): ColumnType | undefined {
+  return TYPES.get(identifier)
+}
--- /dev/null
+++ b/packages/database/src/wire/wire-session.ts
@@ -0,0 +1,408 @@
+import { randomInt } from 'node:crypto'
+import type { Socket } from 'node:net'
+import { SqlError } from '../ledger/sql-error.js'
+import type { Value } from '../ledger/value.js'
+import { typeIdentifiers } from '../ledger/type-identifiers.js'
+import type { SessionCommand } from '../sql/parsed-statement.js'
+import type { Plan, PlanResult } from '../sql/plan.js'
+import type { StatementInstance } from '../sql/statement-parser.js'
+import { BackendWriter } from './backend-writer.js'
+import { BodyReader } from './body-reader.js'
+import { decodeParameter } from './decode-parameter.js'
+import { findTypeByIdentifier } from './find-type-by-identifier.js'
+import type { FrontendMessage } from './frontend-message.js'
+import type { ExecutableStatement, PreparedStatement } from './prepared-statement.js'
+import type { SessionEnvironment } from './session-environment.js'
+import { SessionSettings } from './session-settings.js'
+import { StatementExecutor } from './statement-executor.js'
+
+interface CreateOptions {
+  environment: SessionEnvironment
+  socket: Socket
+  /** Sends bytes to the client, late or never as the faults say. */
+  send: (bytes: Buffer) => void
+  processId: number
+  startup: ReadonlyMap<string, string>
+  writer: BackendWriter
+}
+
+interface Portal {
+  statement: ExecutableStatement
+  parameters: readonly Value[]
+  /** Rows that are still to be sent; absent before the first Execute. */
+  rows?: Iterator<readonly Value[]>
+  sent: number
+}
+
+type MaybePromise = void | Promise<void>
+
+const FLUSH_BYTES = 64 * 1024
+const UNSENT_LIMIT_BYTES = 1024 * 1024
+const SHOW_COLUMN = 'text' as const
+
+/** One logged-in client: simple and extended queries, in order. It returns promises only where it has to wait. */
+export class WireSession {
+  readonly processId: number
+  readonly secret = randomInt(0x7fff_ffff)
+  readonly #environment: SessionEnvironment
+  readonly #socket: Socket
+  readonly #send: (bytes: Buffer) => void
+  readonly #writer: BackendWriter
+  readonly #settings: SessionSettings
+  readonly #executor: StatementExecutor
+  readonly #statements = new Map<string, PreparedStatement>()
+  readonly #portals = new Map<string, Portal>()
+  /** After an error in extended mode everything up to Sync is skipped. */
+  #skipsToSync = false
+  #isClosed = false
+
+  private constructor ({ environment, socket, send, processId, startup, writer }: CreateOptions) {
+    this.#environment = environment
+    this.#socket = socket
+    this.#send = send
+    this.#writer = writer
+    this.processId = processId
+    this.#settings = SessionSettings.create(startup)
+    this.#executor = StatementExecutor.create({ environment, sessionSettings: this.#settings, backendId: processId })
+  }
+
+  static create (options: CreateOptions): WireSession {
+    return new WireSession(options)
+  }
+
+  /** Sends what follows a log-in. */
+  start (): void {
+    const writer = this.#writer
+    for (const [name, display] of [['server_version', 'server_version'], ['server_encoding', 'server_encoding'], ['client_encoding', 'client_encoding'],
+      ['application_name', 'application_name'], ['datestyle', 'DateStyle'], ['integer_datetimes', 'integer_datetimes'],
+      ['standard_conforming_strings', 'standard_conforming_strings'], ['timezone', 'TimeZone']] as const) writer.addParameterStatus(display, this.#settings.read(name))
+    writer.addBackendKeyData(this.processId, this.secret)
+    writer.addReadyForQuery('I')
+    this.#flush()
+  }
+
+  /** Handles one message. `next` is the message behind it, when it has arrived. */
+  handle (message: FrontendMessage, next: FrontendMessage | undefined): MaybePromise {
+    if (this.#skipsToSync && message.type !== 'S' && message.type !== 'X') return
+    try {
+      const pending = this.#dispatch(message, next)
+      if (pending instanceof Promise) return pending.catch((error: unknown) => { this.#handleError(error, message) })
+    } catch (error) {
+      this.#handleError(error, message)
+    }
+  }
+
+  cancel (): void {
+    this.#executor.cancel()
+  }
+
+  /** The client is gone: ends waits and rolls back. A statement that runs goes on, as at a real server. */
+  close (): void {
+    this.#isClosed = true
+    this.#executor.abandon()
+  }
+
+  /** Ends the transaction after the last statement has finished. */
+  finish (): void {
+    this.#executor.rollback()
+  }
+
+  #dispatch ({ type, body }: FrontendMessage, next: FrontendMessage | undefined): MaybePromise {
+    switch (type) {
+      case 'Q': return this.#runQuery(BodyReader.create(body).readText())
+      case 'P': return this.#parse(BodyReader.create(body))
+      case 'B': return this.#bind(BodyReader.create(body))
+      case 'D': return this.#describe(BodyReader.create(body))
+      case 'E': return this.#execute(BodyReader.create(body), next?.type === 'S')
+      case 'C': return this.#closeStatement(BodyReader.create(body))
+      case 'S': return this.#sync()
+      case 'H': return this.#flush()
+      case 'X': this.#socket.end()
+        return
+      // Messages of a COPY that was never started are ignored, as the protocol says.
+      case 'd': case 'c': case 'f': return
+      default: throw SqlError.create('08P01', `unexpected message type ${type}`)
+    }
+  }
+
+  #runQuery (text: string): MaybePromise {
+    const instances = this.#environment.parser.parse(text)
+    if (instances.length === 0) this.#writer.addEmpty('I')
+    const pending = this.#runInstances(instances, 0)
+    if (pending instanceof Promise) return pending.then(() => { this.#finishQuery() })
+    this.#finishQuery()
+  }
+
+  #runInstances (instances: StatementInstance[], start: number): MaybePromise {
+    for (let index = start; index < instances.length; index++) {
+      const instance = instances[index] as StatementInstance
+      const statement = this.#prepare({ instance, declaredTypes: [] })
+      if (statement.type === 'plan' && statement.plan.columns !== null) this.#writer.addRowDescription(statement.plan.columns)
+      else if (statement.type === 'session') this.#describeCommand(statement.command)
+      const portal: Portal = { statement, parameters: decodeLiterals(instance, statement), sent: 0 }
+      const pending = this.#runPortal(portal, 0, index === instances.length - 1)
+      if (pending instanceof Promise) return pending.then(() => this.#runInstances(instances, index + 1))
+    }
+  }
+
+  #finishQuery (): void {
+    this.#portals.clear()
+    this.#answerCommit(this.#executor.commitImplicit())
+    this.#sendReady()
+  }
+
+  #parse (reader: BodyReader): void {
+    const name = reader.readText()
+    const instances = this.#environment.parser.parse(reader.readText())
+    if (instances.length > 1) throw SqlError.create('42601', 'cannot insert multiple commands into a prepared statement')
+    if (name !== '' && this.#statements.has(name)) throw SqlError.create('42P05', `prepared statement "${name}" already exists`)
+    const declaredTypes = Array.from({ length: reader.readInt16() }, () => findTypeByIdentifier(reader.readInt32()))
+    while (declaredTypes.length > 0 && declaredTypes.at(-1) === undefined) declaredTypes.pop()
+    const prepared = { instance: instances[0], declaredTypes }
+    this.#prepare(prepared)
+    this.#statements.set(name, prepared)
+    this.#writer.addEmpty('1')
+  }
+
+  #bind (reader: BodyReader): void {
+    const portalName = reader.readText()
+    const prepared = this.#findStatement(reader.readText())
+    const statement = this.#prepare(prepared)
+    const formats = Array.from({ length: reader.readInt16() }, () => reader.readInt16())
+    const count = reader.readInt16()
+    const expected = prepared.instance?.parameterCount ?? 0
+    if (count !== expected) throw SqlError.create('08P01', `bind message supplies ${count} parameters, but the statement requires ${expected}`)
+    const types = statement.type === 'plan' ? statement.plan.parameterTypes : []
+    const values = Array.from({ length: count }, (_, index) => {
+      const length = reader.readInt32()
+      const bytes = length < 0 ? null : reader.readBytes(length)
+      return decodeParameter(bytes, (formats.length === 1 ? formats[0] : formats[index]) === 1, types[index] ?? 'text')
+    })
+    const resultFormats = Array.from({ length: reader.readInt16() }, () => reader.readInt16())
+    if (resultFormats.includes(1)) throw SqlError.create('0A000', 'binary results are not supported')
+    const parameters = prepared.instance === undefined ? values : [...values, ...decodeLiterals(prepared.instance, statement).slice(count)]
+    this.#portals.set(portalName, { statement, parameters, sent: 0 })
+    this.#writer.addEmpty('2')
+  }
+
+  #describe (reader: BodyReader): void {
+    const isStatement = reader.readByte() === 0x53
+    const name = reader.readText()
+    const statement = isStatement ? this.#prepare(this.#findStatement(name)) : this.#findPortal(name).statement
+    if (isStatement) {
+      const count = this.#findStatement(name).instance?.parameterCount ?? 0
+      const types = statement.type === 'plan' ? statement.plan.parameterTypes.slice(0, count) : []
+      this.#writer.addParameterDescription(types.map((type) => typeIdentifiers[type]))
+    }
+    if (statement.type === 'plan' && statement.plan.columns !== null) this.#writer.addRowDescription(statement.plan.columns)
+    else if (statement.type !== 'session' || !this.#describeCommand(statement.command)) this.#writer.addEmpty('n')
+  }
+
+  #execute (reader: BodyReader, isLast: boolean): MaybePromise {
+    const portal = this.#findPortal(reader.readText())
+    return this.#runPortal(portal, reader.readInt32(), isLast)
+  }
+
+  #closeStatement (reader: BodyReader): void {
+    const isStatement = reader.readByte() === 0x53
+    const name = reader.readText()
+    if (isStatement) this.#statements.delete(name)
+    else this.#portals.delete(name)
+    this.#writer.addEmpty('3')
+  }
+
+  #sync (): void {
+    this.#skipsToSync = false
+    if (this.#executor.status === 'I') this.#portals.clear()
+    this.#answerCommit(this.#executor.commitImplicit())
+    this.#sendReady()
+  }
+
+  /** Runs a portal up to `limit` rows (0: all). `isLast` lets an implicit transaction commit before the answer. */
+  #runPortal (portal: Portal, limit: number, isLast: boolean): MaybePromise {
+    const { statement } = portal
+    if (statement.type === 'empty') return this.#writer.addEmpty('I')
+    if (statement.type === 'session') return this.#runCommand(statement.command)
+    if (portal.rows !== undefined) return this.#sendRows(portal, limit)
+    const { plan } = statement
+    const result = this.#executor.run(plan, portal.parameters)
+    if (result instanceof Promise) return result.then((value) => this.#sendResult(plan, portal, value, limit, isLast))
+    return this.#sendResult(plan, portal, result, limit, isLast)
+  }
+
+  #sendResult (plan: Plan, portal: Portal, { count, rows }: PlanResult, limit: number, isLast: boolean): MaybePromise {
+    // A write that fails to commit must not have been reported as complete.
+    if (isLast && plan.isWrite) this.#answerCommit(this.#executor.commitImplicit())
+    if (rows === null) {
+      this.#writer.addCommandComplete(formatTag(plan.command, count))
+      return
+    }
+    portal.rows = rows[Symbol.iterator]()
+    return this.#sendRows(portal, limit, plan.command === 'SELECT' ? undefined : formatTag(plan.command, count))
+  }
+
+  #sendRows (portal: Portal, limit: number, tag?: string): MaybePromise {
+    const rows = portal.rows as Iterator<readonly Value[]>
+    let rest = limit === 0 ? Infinity : limit
+    while (rest > 0) {
+      const { done, value } = rows.next()
+      if (done === true) {
+        this.#writer.addCommandComplete(tag ?? `SELECT ${portal.sent}`)
+        return
+      }
+      rest--
+      portal.sent++
+      this.#writer.addDataRow(value)
+      if (this.#writer.length < FLUSH_BYTES) continue
+      this.#flush()
+      if (this.#socket.writableLength > UNSENT_LIMIT_BYTES && rest > 0) {
+        return this.#waitForDrain().then(() => this.#sendRows(portal, rest === Infinity ? 0 : rest, tag))
+      }
+    }
+    this.#writer.addEmpty('s')
+  }
+
+  /** Waits until the client has read, so that a large result does not fill the memory. */
+  async #waitForDrain (): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const finish = (): void => {
+        this.#socket.off('drain', finish)
+        this.#socket.off('close', finish)
+        resolve()
+      }
+      this.#socket.once('drain', finish)
+      this.#socket.once('close', finish)
+    })
+    if (this.#isClosed) throw SqlError.create('08006', 'connection closed')
+  }
+
+  #prepare ({ instance, declaredTypes }: PreparedStatement): ExecutableStatement {
+    if (instance === undefined) return { type: 'empty' }
+    if (instance.parsed.kind === 'session') return { type: 'session', command: instance.parsed.command }
+    return { type: 'plan', plan: this.#environment.plans.find(instance, declaredTypes, this.#executor.transaction) }
+  }
+
+  /** Describes the result of a command that has one. */
+  #describeCommand (command: SessionCommand): boolean {
+    if (command.type !== 'show') return false
+    this.#writer.addRowDescription([{ name: command.name, type: SHOW_COLUMN }])
+    return true
+  }
+
+  #runCommand (command: SessionCommand): void {
+    const executor = this.#executor
+    switch (command.type) {
+      case 'begin':
+        executor.checkNotFailed()
+        executor.begin(command.writeable === 'read only')
+        return this.#complete('BEGIN')
+      case 'commit': {
+        const { committed, wrote } = executor.commit()
+        this.#answerCommit(wrote)
+        return this.#complete(committed ? 'COMMIT' : 'ROLLBACK')
+      }
+      case 'rollback':
+        executor.rollback()
+        return this.#complete('ROLLBACK')
+      case 'set transaction':
+        executor.setReadOnly(command.readOnly)
+        return this.#complete('SET')
+      default:
+        executor.checkNotFailed()
+        return this.#runSettingCommand(command)
+    }
+  }
+
+  #runSettingCommand (command: SessionCommand): void {
+    switch (command.type) {
+      case 'set':
+        this.#settings.write(command.name, command.value)
+        if (command.name === 'application_name') this.#writer.addParameterStatus('application_name', command.value ?? '')
+        return this.#complete('SET')
+      case 'reset':
+        this.#settings.reset(command.name)
+        return this.#complete('RESET')
+      case 'show':
+        this.#writer.addDataRow([this.#readSetting(command.name)])
+        return this.#complete('SHOW')
+      case 'discard':
+        if (this.#executor.status !== 'I') throw SqlError.create('25001', 'DISCARD ALL cannot run inside a transaction block')
+        this.#settings.reset('all')
+        this.#statements.clear()
+        this.#portals.clear()
+        return this.#complete('DISCARD ALL')
+      case 'deallocate':
+        if (command.name === null) this.#statements.clear()
+        else this.#statements.delete(command.name)
+        return this.#complete('DEALLOCATE')
+    }
+  }
+
+  #readSetting (name: string): string {
+    const { member } = this.#environment
+    if (name === 'in_hot_standby') return member.role === 'primary' ? 'off' : 'on'
+    if (name === 'transaction_read_only') {
+      const readOnly = this.#executor.transaction?.readOnly ?? this.#settings.isReadOnly
+      return readOnly || member.role !== 'primary' ? 'on' : 'off'
+    }
+    return this.#settings.read(name)
+  }
+
+  #complete (tag: string): void {
+    this.#writer.addCommandComplete(tag)
+  }
+
+  /** Closes the connection without an answer when the fault is set and the commit wrote something. */
+  #answerCommit (wrote: boolean): void {
+    if (!wrote || !this.#environment.faults.takeDroppedCommitAnswer(this.#environment.member.name)) return
+    this.#writer.take()
+    this.#socket.destroy()
+  }
+
+  #findStatement (name: string): PreparedStatement {
+    const statement = this.#statements.get(name)
+    if (statement === undefined) throw SqlError.create('26000', `prepared statement "${name}" does not exist`)
+    return statement
+  }
+
+  #findPortal (name: string): Portal {
+    const portal = this.#portals.get(name)
+    if (portal === undefined) throw SqlError.create('34000', `portal "${name}" does not exist`)
+    return portal
+  }
+
+  #handleError (error: unknown, { type }: FrontendMessage): void {
+    const { sqlState, message } = error instanceof SqlError
+      ? error
+      : error instanceof RangeError ? { sqlState: '08P01', message: `malformed message: ${error.message}` } : { sqlState: 'XX000', message: String(error) }
+    this.#executor.fail()
+    this.#writer.addError('ERROR', sqlState, message)
+    if (type === 'Q' || type === 'S') this.#sendReady()
+    else this.#skipsToSync = true
+  }
+
+  #sendReady (): void {
+    this.#writer.addReadyForQuery(this.#executor.status)
+    this.#flush()
+  }
+
+  #flush (): void {
+    if (this.#writer.length > 0) this.#send(this.#writer.take())
+  }
+}
+
+function formatTag (command: Plan['command'], count: number): string {
+  if (command === 'CREATE TABLE') return command
+  return command === 'INSERT' ? `INSERT 0 ${count}` : `${command} ${count}`
+}
+
+/** Values of the literals that were taken out of the text, behind empty places for the client's parameters. */
+function decodeLiterals ({ parameterCount, literals }: StatementInstance, statement: ExecutableStatement): Value[] {
+  if (statement.type !== 'plan') return []
+  const { parameterTypes } = statement.plan
+  const values = new Array<Value>(parameterCount).fill(null)
+  for (const [index, literal] of literals.entries()) {
+    values.push(decodeParameter(Buffer.from(String(literal)), false, parameterTypes[parameterCount + index] ?? 'text'))
+  }
+  return values
+}
