Test the database stand-in by unit and with the pg client

Cause: the experiments rely on the stand-in for terms, truncation, lost answers and crashes, so each fault needs a test that causes it. Found and fixed: a database that was paused and then crashed answered the statement that it held (faults.test, 'does not finish a statement that a crash or a pause interrupted'); '||' took the type of a number for a string. Conclusion: tests wait for conditions and never for a time.

--- a/packages/database/src/faults/fault-state.ts
+++ b/packages/database/src/faults/fault-state.ts
@@ -22,8 +22,9 @@
     return () => { this.#listeners.delete(listener) }
   }
 
+  /** Whether the database does nothing. A crashed one counts, so that what it held while paused has no effect. */
   isPaused (database: string): boolean {
-    return this.#faults.databases[database]?.paused ?? false
+    return (this.#faults.databases[database]?.paused ?? false) || this.isCrashed(database)
   }
 
   isCrashed (database: string): boolean {
--- a/packages/database/src/replication/follower-task.ts
+++ b/packages/database/src/replication/follower-task.ts
@@ -131,7 +131,7 @@
   #apply (after: number, entries: LogEntry[]): void {
     const { member } = this.#options
     const subscription = this.#subscription
-    if (subscription === undefined || !member.isFollowing(subscription.term, subscription.primary)) return
+    if (this.#stopped || subscription === undefined || !member.isFollowing(subscription.term, subscription.primary)) return
     if (member.receiveEntries(after, entries)) subscription.link.send({ type: 'ack', position: member.last.position })
     else subscription.link.destroy()
   }
--- a/packages/database/src/sql/compile-expression.ts
+++ b/packages/database/src/sql/compile-expression.ts
@@ -84,17 +84,21 @@
 function compileBinary (node: ExprBinary, scope: Scope): Expression {
   if (node.op === 'AND' || node.op === 'OR') return compileLogic(node, scope)
   if (node.op === 'IN' || node.op === 'NOT IN') return compileIn(node, scope)
+  if (node.op === '||') return compileConcatenation(node, scope)
   const [left, right] = compileOperands(node.left, node.right, scope)
   const comparison = COMPARISONS[node.op]
   if (comparison !== undefined) {
     return { type: 'boolean', evaluate: (row, context) => combineValues(left.evaluate(row, context), right.evaluate(row, context), (a, b) => comparison(compareValues(a, b))) }
   }
-  if (node.op === '||') {
-    return { type: 'text', evaluate: (row, context) => combineValues(left.evaluate(row, context), right.evaluate(row, context), (a, b) => `${String(a)}${String(b)}`) }
-  }
   return compileArithmetic(node.op, left, right)
 }
 
+function compileConcatenation (node: ExprBinary, scope: Scope): Expression {
+  const left = compileExpression(node.left, scope, 'text')
+  const right = compileExpression(node.right, scope, 'text')
+  return { type: 'text', evaluate: (row, context) => combineValues(left.evaluate(row, context), right.evaluate(row, context), (a, b) => `${String(a)}${String(b)}`) }
+}
+
 const COMPARISONS: Record<string, (order: number) => boolean> = {
   '=': (order) => order === 0,
   '!=': (order) => order !== 0,
--- /dev/null
+++ b/packages/database/test/database-member.test.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { DatabaseMember } from '../src/member/database-member.js'
+import { findCommonPosition } from '../src/replication/find-common-position.js'
+import { tableDefinitionSchema } from '../src/ledger/table-definition.js'
+
+const definition = tableDefinitionSchema.parse({ name: 't', columns: [{ name: 'id', type: 'text' }], primaryKey: ['id'], indexes: ['id'] })
+
+function createMembers (): DatabaseMember[] {
+  return ['a', 'b', 'c'].map((name) => DatabaseMember.create({ name, clock: { readTime: () => 0 }, initialPrimary: 'a', initialChanges: [{ type: 'create', definition }] }))
+}
+
+function insert (member: DatabaseMember, id: string): void {
+  const transaction = member.begin(false)
+  transaction.put(transaction.findTable('t'), id, [id])
+  transaction.commit()
+}
+
+function listRows (member: DatabaseMember): string[] {
+  return [...member.ledger.findTable('t').rows.keys()].sort()
+}
+
+/** Copies from a primary to a follower as the replication link does, up to `limit` entries. */
+function replicate (from: DatabaseMember, to: DatabaseMember, limit: number): void {
+  if (from.role !== 'primary' || !to.isFollowing(from.promisedTerm, from.name)) return
+  const common = findCommonPosition({ history: to.listHistory(), position: to.last.position }, { history: from.listHistory(), position: from.last.position })
+  to.truncate(common)
+  assert.ok(to.receiveEntries(common, from.readEntries(common, limit)))
+}
+
+type Step =
+  | { type: 'write', member: number }
+  | { type: 'raise' | 'promote', member: number, term: number }
+  | { type: 'follow', member: number, primary: number, term: number }
+  | { type: 'replicate', from: number, to: number, limit: number }
+
+const member = fc.nat(2)
+const term = fc.integer({ min: 1, max: 5 })
+const step: fc.Arbitrary<Step> = fc.oneof(
+  fc.record({ type: fc.constant('write' as const), member }),
+  fc.record({ type: fc.constantFrom('raise' as const, 'promote' as const), member, term }),
+  fc.record({ type: fc.constant('follow' as const), member, primary: member, term }),
+  fc.record({ type: fc.constant('replicate' as const), from: member, to: member, limit: fc.nat(3) })
+)
+
+describe('DatabaseMember', () => {
+  // Guards against a wrong common position: a follower would keep entries that its primary does not hold.
+  it('has equal logs and rows up to the common position after any steps in which each term has one primary', () => {
+    fc.assert(fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const members = createMembers()
+      const primaries = new Map([[1, 0]])
+      const get = (index: number): DatabaseMember => members[index] as DatabaseMember
+      let written = 0
+      for (const current of steps) {
+        if (current.type === 'write' && get(current.member).role === 'primary') insert(get(current.member), `row${written++}`)
+        if (current.type === 'raise') get(current.member).raiseTerm(current.term)
+        if (current.type === 'promote' && (primaries.get(current.term) ?? current.member) === current.member &&
+          get(current.member).promote(current.term)) primaries.set(current.term, current.member)
+        if (current.type === 'follow') get(current.member).follow(current.term, get(current.primary).name)
+        if (current.type === 'replicate') replicate(get(current.from), get(current.to), current.limit)
+      }
+      for (const [left, right] of [[0, 1], [1, 2], [0, 2]] as const) checkCommonPrefix(get(left), get(right))
+      for (const current of members) checkRows(current)
+    }), { seed: 20261204, numRuns: 2000 })
+  })
+
+  // Guards against a promise that goes down, or a database that is the primary of a term it has not promised.
+  it('grants only higher terms and promotes only in the promised term', () => {
+    const [a, b] = createMembers() as [DatabaseMember, DatabaseMember]
+    assert.deepEqual(b.raiseTerm(3), { granted: true, promisedTerm: 3, log: { term: 1, position: 1 } })
+    assert.equal(b.raiseTerm(3).granted, false)
+    assert.equal(b.raiseTerm(2).granted, false)
+    assert.equal(b.promote(2), false)
+    assert.equal(b.promote(3), true)
+    assert.deepEqual(b.last, { term: 3, position: 2 })
+    assert.equal(b.follow(3, 'a'), false)
+    a.hearTerm(3)
+    assert.equal(a.role, 'replica')
+    assert.equal(a.promote(1), false)
+    assert.equal(a.raiseTerm(3).granted, true)
+  })
+})
+
+function checkCommonPrefix (left: DatabaseMember, right: DatabaseMember): void {
+  const common = findCommonPosition({ history: left.listHistory(), position: left.last.position }, { history: right.listHistory(), position: right.last.position })
+  assert.deepEqual(left.readEntries(0, common), right.readEntries(0, common))
+  const next = [left, right].map((current) => current.readEntries(common, 1)[0])
+  assert.ok(next[0] === undefined || next[1] === undefined || next[0].term !== next[1].term)
+}
+
+/** The rows are what the log says: truncations undid exactly what they removed. */
+function checkRows (current: DatabaseMember): void {
+  const expected = current.readEntries(0, Infinity).flatMap(({ changes }) => changes.flatMap((change) => change.type === 'put' ? [change.key] : []))
+  assert.deepEqual(listRows(current), expected.sort())
+  for (const key of expected) assert.deepEqual([...current.ledger.findTable('t').findKeys(0, key)], [key])
+}
--- /dev/null
+++ b/packages/database/test/faults.test.ts
@@ -0,0 +1,140 @@
+import assert from 'node:assert/strict'
+import { mkdtempSync, rmSync, readFileSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { after, before, describe, it } from 'node:test'
+import type pg from 'pg'
+import { TestGroup } from './fixtures/test-group.js'
+import { waitUntil } from './fixtures/wait-until.js'
+
+let group: TestGroup
+
+async function insert (client: pg.Client, id: string): Promise<void> {
+  await client.query('INSERT INTO payment (id, amount) VALUES ($1, 1)', [id])
+}
+
+async function countPayments (client: pg.Client, id: string): Promise<number> {
+  return (await client.query('SELECT id FROM payment WHERE id = $1', [id])).rows.length
+}
+
+/** Settles to the error of a promise, so that it is never unhandled. */
+async function catchError (promise: Promise<unknown>): Promise<Error | undefined> {
+  return await promise.then(() => undefined, (error: Error) => error)
+}
+
+describe('faults of a database', () => {
+  before(async () => { group = await TestGroup.open() })
+  after(async () => { await group.close() })
+
+  // Guards against a proxy that takes a closed connection for work that did not run.
+  it('drops the answers of commits that took effect, implicit and explicit', async () => {
+    const [first, second, reader] = await Promise.all([1, 2, 3].map(() => group.connect('a'))) as [pg.Client, pg.Client, pg.Client]
+    await group.setFaults({ databases: { a: { dropCommitAnswers: 2 } } })
+    assert.ok(await catchError(insert(first, 'lost1')))
+    await second.query('BEGIN')
+    await insert(second, 'lost2')
+    assert.ok(await catchError(second.query('COMMIT')))
+    assert.deepEqual([await countPayments(reader, 'lost1'), await countPayments(reader, 'lost2')], [1, 1])
+    await insert(reader, 'answered')
+  })
+
+  // Guards against a crash that loses acknowledged state or keeps what was not committed.
+  it('keeps log and promise over a crash and restart, and drops open transactions', async () => {
+    const client = await group.connect('a')
+    const closed = new Promise((resolve) => { client.once('end', resolve) })
+    await insert(client, 'durable')
+    await client.query('BEGIN')
+    await insert(client, 'open')
+    const before = await group.readStatus('a')
+    await group.setFaults({ databases: { a: { crashed: true } } })
+    await closed
+    await assert.rejects(group.connect('a'), { code: 'ECONNREFUSED' })
+    await group.setFaults({})
+    const again = await group.connect('a')
+    assert.deepEqual([await countPayments(again, 'durable'), await countPayments(again, 'open')], [1, 0])
+    const restarted = await group.readStatus('a')
+    assert.deepEqual(restarted.log, before.log)
+    assert.equal(restarted.role, 'primary')
+    await insert(again, 'open')
+    const { position } = (await group.readStatus('a')).log
+    await waitUntil(async () => (await group.readStatus('b')).log.position === position)
+  })
+
+  // Guards against a statement that takes effect after the crash that ended it.
+  it('does not finish a statement that a crash or a pause interrupted before its effect', async () => {
+    const client = await group.connect('a')
+    await group.setFaults({ databases: { a: { extraServiceMs: 1, paused: true } } })
+    const outcome = catchError(insert(client, 'interrupted'))
+    await group.setFaults({ databases: { a: { crashed: true } } })
+    assert.ok(await outcome)
+    await group.setFaults({})
+    assert.equal(await countPayments(await group.connect('a'), 'interrupted'), 0)
+  })
+
+  // Guards against a proxy that waits for ever, or gives up on work that is then done.
+  it('answers nothing while paused and goes on afterwards', async () => {
+    const client = await group.connect('a')
+    await group.setFaults({ databases: { a: { paused: true } } })
+    let answered = false
+    const inserting = insert(client, 'paused').then(() => { answered = true })
+    const { position } = (await group.readStatus('a')).log
+    const other = await group.connect('b')
+    await other.query('SELECT 1')
+    assert.equal(answered, false)
+    assert.equal((await group.readStatus('a')).log.position, position)
+    await group.setFaults({})
+    await inserting
+  })
+
+  it('cuts off clients by address and direction', async () => {
+    const local = await group.connect('a')
+    const remote = await group.connect('a', { host: '127.0.0.1' })
+    const before = (await group.readStatus('a')).log.position
+    await group.setFaults({ clients: [{ database: 'a', address: '127.0.0.', direction: 'answers' }] })
+    let answered = false
+    const inserting = insert(remote, 'unanswered').then(() => { answered = true })
+    await waitUntil(async () => (await group.readStatus('a')).log.position > before)
+    assert.equal(answered, false)
+    await group.setFaults({ clients: [{ address: '10.' }] })
+    await inserting
+    assert.equal(await countPayments(local, 'unanswered'), 1)
+  })
+
+  it('refuses faults that are not valid and keeps the present ones', async () => {
+    await group.setFaults({ lags: [{ from: 'a', to: 'b', ms: 5 }] })
+    const url = `http://127.0.0.1:${group.service.controlPort}/faults`
+    const answer = await fetch(url, { method: 'PUT', headers: { 'content-type': 'application/json' }, body: '{"lag": 1}' })
+    assert.equal(answer.status, 400)
+    assert.equal((await (await fetch(url)).json() as { lags: unknown[] }).lags.length, 1)
+    await group.setFaults({})
+  })
+})
+
+describe('data directory', () => {
+  // Guards against a promise or an entry that is forgotten when the process ends, and against a record that was cut off.
+  it('restores log, truncations and promises when the process starts again', async () => {
+    const dataDirectory = mkdtempSync(join(tmpdir(), 'tanagerusher-database-'))
+    const first = await TestGroup.open({ dataDirectory })
+    const a = await first.connect('a')
+    await insert(a, 'p1')
+    await first.setFaults({ partitions: [{ from: 'a', to: '*' }] })
+    await insert(a, 'lost')
+    const b = await first.connect('b')
+    await b.query('SELECT * FROM platform_raise_term(2)')
+    await b.query('SELECT * FROM platform_promote(2)')
+    await first.setFaults({})
+    await a.query("SELECT * FROM platform_follow(2, 'b')")
+    await waitUntil(async () => (await first.readStatus('a')).log.term === 2)
+    const statuses = await Promise.all(['a', 'b', 'c'].map((name) => first.readStatus(name)))
+    await first.close()
+    const journal = join(dataDirectory, 'a.journal')
+    writeFileSync(journal, Buffer.concat([readFileSync(journal), Buffer.from([0, 0, 1, 0, 7])]))
+    const second = await TestGroup.open({ dataDirectory })
+    const restored = await Promise.all(['a', 'b', 'c'].map((name) => second.readStatus(name)))
+    assert.deepEqual(restored.map(({ role, promisedTerm, log }) => ({ role, promisedTerm, log })), statuses.map(({ role, promisedTerm, log }) => ({ role, promisedTerm, log })))
+    const again = await second.connect('a')
+    assert.deepEqual([await countPayments(again, 'p1'), await countPayments(again, 'lost')], [1, 0])
+    await second.close()
+    rmSync(dataDirectory, { recursive: true })
+  })
+})
