--- a/packages/database/src/http/control-server.ts
+++ b/packages/database/src/http/control-server.ts
@@ -1,12 +1,15 @@
 import type { AddressInfo } from 'node:net'
 import fastify, { type FastifyInstance } from 'fastify'
-import { databaseFaultsSchema } from '../faults/database-faults.js'
+import { databaseFaultsSchema, type DatabaseFaults } from '../faults/database-faults.js'
 import type { FaultState } from '../faults/fault-state.js'
 
 interface OpenOptions {
   address: string
   port: number
   faults: FaultState
+  /** Databases of the group, and those of them that this process serves. */
+  members: readonly string[]
+  served: readonly string[]
   /** Applies crashes and restarts; resolves when they are done. */
   applyCrashes: () => Promise<void>
   readStatuses: () => unknown
@@ -20,7 +23,7 @@
     this.#app = app
   }
 
-  static async open ({ address, port, faults, applyCrashes, readStatuses }: OpenOptions): Promise<ControlServer> {
+  static async open ({ address, port, faults, members, served, applyCrashes, readStatuses }: OpenOptions): Promise<ControlServer> {
     const app = fastify({ forceCloseConnections: true })
     app.get('/faults', () => faults.faults)
     app.put('/faults', async (request, reply) => {
@@ -29,6 +32,8 @@
         const issue = parsed.error.issues[0]
         return await reply.code(400).send({ kind: 'settings-invalid', message: issue?.message, path: issue?.path.join('.') })
       }
+      const unknown = findUnknownName(parsed.data, members, served)
+      if (unknown !== undefined) return await reply.code(400).send({ kind: 'settings-invalid', message: `there is no database ${unknown}` })
       faults.replace(parsed.data)
       await applyCrashes()
       return faults.faults
@@ -46,3 +51,10 @@
     await this.#app.close()
   }
 }
+
+/** A mistyped name would be a fault that silently does nothing. */
+function findUnknownName ({ partitions, lags, clients, databases }: DatabaseFaults, members: readonly string[], served: readonly string[]): string | undefined {
+  const named = [...partitions, ...lags].flatMap(({ from, to }) => [from, to])
+  return named.find((name) => name !== '*' && !members.includes(name)) ??
+    [...clients.map(({ database }) => database), ...Object.keys(databases)].find((name) => name !== '*' && !served.includes(name))
+}
--- a/packages/database/src/process/database-service.ts
+++ b/packages/database/src/process/database-service.ts
@@ -31,6 +31,8 @@
     const control = await ControlServer.open({
       ...settings.control,
       faults,
+      members: settings.members.map(({ name }) => name),
+      served: [...instances.keys()],
       applyCrashes: async () => { await Promise.all([...instances.values()].map((instance) => instance.applyCrash())) },
       readStatuses: () => [...instances.values()].map(({ member }) => member.readStatus())
     })
--- a/packages/database/test/faults.test.ts
+++ b/packages/database/test/faults.test.ts
@@ -103,8 +103,10 @@
   it('refuses faults that are not valid and keeps the present ones', async () => {
     await group.setFaults({ lags: [{ from: 'a', to: 'b', ms: 5 }] })
     const url = `http://127.0.0.1:${group.service.controlPort}/faults`
-    const answer = await fetch(url, { method: 'PUT', headers: { 'content-type': 'application/json' }, body: '{"lag": 1}' })
-    assert.equal(answer.status, 400)
+    for (const body of ['{"lag": 1}', '{"databases": {"x": {"paused": true}}}', '{"partitions": [{"from": "a", "to": "x"}]}']) {
+      const answer = await fetch(url, { method: 'PUT', headers: { 'content-type': 'application/json' }, body })
+      assert.equal(answer.status, 400)
+    }
     assert.equal((await (await fetch(url)).json() as { lags: unknown[] }).lags.length, 1)
     await group.setFaults({})
   })
