--- /dev/null
+++ b/packages/entry/src/link/control-link.ts
@@ -0,0 +1,194 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import { budgetRequest, type BudgetRequestParams, type BudgetRequestResult } from '@tanagerusher/protocol/peer/budget-request'
+import { budgetReturn } from '@tanagerusher/protocol/peer/budget-return'
+import { configurationUpdateNotification } from '@tanagerusher/protocol/peer/configuration-update'
+import { controlSubscribe, type ControlSubscribeResult } from '@tanagerusher/protocol/peer/control-subscribe'
+import { membershipUpdate, type MembershipUpdateParams } from '@tanagerusher/protocol/peer/membership-update'
+import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
+import type { FleetMember } from '@tanagerusher/state/common/fleet-member'
+import type { ConfigurationUpdate } from '@tanagerusher/state/configuration/configuration-update'
+import { openPeerConnection } from '@tanagerusher/transport/peer/open-peer-connection'
+import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
+import type { ConnectionOptions } from 'node:tls'
+import type { Logger } from 'winston'
+import type { ConfigurationView } from './configuration-view.js'
+
+interface Address {
+  host: string
+  port: number
+}
+
+interface CreateOptions {
+  /** The own host's control first. */
+  controls: readonly Address[]
+  /** Address of this entry's peer server. */
+  address: Address
+  hello: PeerHello
+  tls?: ConnectionOptions
+  clock: Clock
+  logger: Logger
+  configuration: ConfigurationView
+  handleConfiguration: () => void
+  handleMembers: (members: FleetMember[], isLeaving: boolean) => void
+}
+
+const SUBSCRIBE_TIMEOUT_MS = 2000
+const RECONNECT_DELAY_MS = 250
+const BUDGET_TIMEOUT_MS = 1000
+// Another host's control is left for the own one soon after that is back.
+const OWN_CONTROL_CHECK_MS = 5000
+// Control sends membership every second; a connection silent for longer leads nowhere.
+const SILENCE_LIMIT_MS = 4000
+
+/** Subscription at a control process: the own host's, else any other's. Owns the connection and its timer. */
+export class ControlLink {
+  readonly #options: CreateOptions
+  #connection: PeerConnection | undefined
+  #isOwn = false
+  #confirmedAt: number | undefined
+  #lastMessageAt = 0
+  #members: FleetMember[] = []
+  #next = 0
+  #timer: NodeJS.Timeout | undefined
+  #isClosed = false
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+  }
+
+  static create (options: CreateOptions): ControlLink {
+    return new ControlLink(options)
+  }
+
+  get members (): readonly FleetMember[] {
+    return this.#members
+  }
+
+  get isConnected (): boolean {
+    return this.#connection?.isOpen === true
+  }
+
+  /** Time since the configuration was confirmed by the store or by a majority of hosts; infinite before the first time. */
+  computeConfirmedAge (): number {
+    return this.#confirmedAt === undefined ? Number.POSITIVE_INFINITY : this.#options.clock.readTime() - this.#confirmedAt
+  }
+
+  start (): void {
+    void this.#connect()
+  }
+
+  close (): void {
+    this.#isClosed = true
+    clearTimeout(this.#timer)
+    this.#connection?.close()
+  }
+
+  async requestBudget (params: BudgetRequestParams): Promise<BudgetRequestResult> {
+    return await this.#getConnection().request(budgetRequest, params, BUDGET_TIMEOUT_MS)
+  }
+
+  async returnBudget (params: { organisation: string, grantId: string, tokens: number }): Promise<void> {
+    await this.#getConnection().request(budgetReturn, params, BUDGET_TIMEOUT_MS)
+  }
+
+  #getConnection (): PeerConnection {
+    if (this.#connection !== undefined) return this.#connection
+    throw TanagerusherError.create('peer-failed', { details: { peer: 'control', reason: 'not connected' } })
+  }
+
+  async #connect (): Promise<void> {
+    if (this.#isClosed) return
+    const candidates = this.#listCandidates()
+    const index = this.#next++ % candidates.length
+    try {
+      await this.#subscribe(candidates[index] as Address, index === 0)
+    } catch (error) {
+      this.#options.logger.warn('control does not answer', { control: candidates[index], reason: (error as Error).message })
+      this.#schedule(() => { void this.#connect() }, RECONNECT_DELAY_MS)
+    }
+  }
+
+  #listCandidates (): Address[] {
+    const known = new Map(this.#options.controls.map((address) => [`${address.host}:${address.port}`, address]))
+    for (const { addresses: { control } } of this.#members) known.set(`${control.host}:${control.port}`, control)
+    return [...known.values()]
+  }
+
+  async #subscribe (control: Address, isOwn: boolean): Promise<void> {
+    const { hello, tls, address, configuration } = this.#options
+    const connection = await openPeerConnection({ ...control, hello, ...(tls === undefined ? {} : { tls }) })
+    this.#addHandlers(connection)
+    let result: ControlSubscribeResult
+    try {
+      result = await connection.request(controlSubscribe, {
+        role: 'entry', incarnation: hello.incarnation, address, configurationVersion: configuration.version
+      }, SUBSCRIBE_TIMEOUT_MS)
+    } catch (error) {
+      connection.destroy()
+      throw error
+    }
+    if (this.#isClosed) {
+      connection.close()
+      return
+    }
+    this.#connection?.close()
+    this.#connection = connection
+    this.#isOwn = isOwn
+    this.#next = 0
+    if (result.configuration !== null) this.#handleConfiguration(connection, result.configuration)
+    this.#handleMembership({ members: result.members, confirmedAgeMs: result.confirmedAgeMs, leaving: false })
+    void connection.closed.then(() => { this.#handleClosed(connection) })
+    this.#schedule(() => { this.#checkConnection() }, OWN_CONTROL_CHECK_MS)
+  }
+
+  #addHandlers (connection: PeerConnection): void {
+    connection.addNotification(configurationUpdateNotification, (update) => { this.#handleConfiguration(connection, update) })
+    connection.addNotification(membershipUpdate, (update) => { this.#handleMembership(update) })
+  }
+
+  #handleConfiguration (connection: PeerConnection, update: ConfigurationUpdate): void {
+    const applied = this.#options.configuration.apply(update)
+    if (applied === 'applied') this.#options.handleConfiguration()
+    // A new subscription from the known version brings what is missing.
+    if (applied === 'gap') connection.close()
+  }
+
+  /** A control that has heard nothing for a while must not make a confirmation look older than it is known to be. */
+  #handleMembership ({ members, confirmedAgeMs, leaving }: MembershipUpdateParams): void {
+    const now = this.#options.clock.readTime()
+    this.#lastMessageAt = now
+    this.#confirmedAt = Math.max(this.#confirmedAt ?? Number.NEGATIVE_INFINITY, now - confirmedAgeMs)
+    this.#members = members
+    this.#options.handleMembers(members, leaving)
+  }
+
+  #handleClosed (connection: PeerConnection): void {
+    if (this.#connection !== connection || this.#isClosed) return
+    this.#connection = undefined
+    void this.#connect()
+  }
+
+  #checkConnection (): void {
+    if (this.#connection === undefined || this.#isClosed) return
+    if (this.#options.clock.readTime() - this.#lastMessageAt > SILENCE_LIMIT_MS) {
+      this.#connection.destroy()
+      return
+    }
+    if (this.#isOwn) this.#schedule(() => { this.#checkConnection() }, OWN_CONTROL_CHECK_MS)
+    else void this.#returnToOwn()
+  }
+
+  async #returnToOwn (): Promise<void> {
+    try {
+      await this.#subscribe(this.#options.controls[0] as Address, true)
+    } catch {
+      this.#schedule(() => { this.#checkConnection() }, OWN_CONTROL_CHECK_MS)
+    }
+  }
+
+  #schedule (run: () => void, delayMs: number): void {
+    clearTimeout(this.#timer)
+    this.#timer = setTimeout(run, delayMs)
+  }
+}
--- /dev/null
+++ b/packages/entry/src/listener/caller-listener.ts
@@ -0,0 +1,92 @@
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import type { SessionServices } from '../session/session-services.js'
+import { CallerCertificate } from './caller-certificate.js'
+import { FailureHold } from './failure-hold.js'
+import { LogInTask } from './log-in-task.js'
+
+interface OpenOptions {
+  services: SessionServices
+  handleCancel: (processId: number, secret: number) => Promise<void>
+}
+
+/** Accepts callers and owns those that have not logged in yet. */
+export class CallerListener {
+  readonly #server: Server
+  readonly #options: OpenOptions
+  readonly #certificate: CallerCertificate | undefined
+  readonly #failureHold: FailureHold
+  /** In the order of their arrival. */
+  readonly #pending = new Set<LogInTask>()
+  #isShuttingDown = false
+  #certificateCheckedAt: number
+
+  private constructor (options: OpenOptions) {
+    const { settings, logger, clock } = options.services
+    const { callerTls, limits } = settings
+    this.#options = options
+    this.#certificate = callerTls === undefined ? undefined : CallerCertificate.create({ ...callerTls, logger })
+    this.#failureHold = FailureHold.create({ delayMs: limits.logInFailureDelayMs, maximumHeld: limits.maximumHeldFailures })
+    this.#certificateCheckedAt = clock.readTime()
+    this.#server = createServer({ noDelay: true, keepAlive: true, keepAliveInitialDelay: limits.keepAliveMs }, (socket) => { this.#accept(socket) })
+  }
+
+  static async open (options: OpenOptions): Promise<CallerListener> {
+    const listener = new CallerListener(options)
+    const { address, callerPort } = options.services.settings
+    await new Promise<void>((resolve, reject) => {
+      listener.#server.once('error', reject)
+      listener.#server.listen({ host: address, port: callerPort, backlog: 4096 }, resolve)
+    })
+    return listener
+  }
+
+  get port (): number {
+    return (this.#server.address() as AddressInfo).port
+  }
+
+  /** Called every second or so: ends log-ins that take too long and notices a new certificate. */
+  checkLimits (now: number): void {
+    const { limits, certificateCheckMs } = this.#options.services.settings
+    for (const task of this.#pending) {
+      if (now - task.beganAt <= limits.logInTimeoutMs) break
+      task.destroy()
+    }
+    if (now - this.#certificateCheckedAt < certificateCheckMs) return
+    this.#certificateCheckedAt = now
+    this.#certificate?.reload()
+  }
+
+  /** Accepts no more callers. */
+  stop (): void {
+    this.#isShuttingDown = true
+    this.#server.close()
+  }
+
+  close (): void {
+    this.stop()
+    this.#failureHold.close()
+    for (const task of this.#pending) task.destroy()
+  }
+
+  #accept (socket: Socket): void {
+    const { services, handleCancel } = this.#options
+    if (this.#pending.size >= services.settings.limits.maximumPendingLogIns) this.#dropOldest()
+    const task = LogInTask.create({
+      socket,
+      services,
+      handleCancel,
+      failureHold: this.#failureHold,
+      findSecureContext: () => this.#certificate?.context,
+      isShuttingDown: () => this.#isShuttingDown
+    })
+    this.#pending.add(task)
+    task.start(() => { this.#pending.delete(task) })
+  }
+
+  #dropOldest (): void {
+    const [oldest] = this.#pending
+    if (oldest === undefined) return
+    this.#pending.delete(oldest)
+    oldest.destroy()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/routing/pool-link.ts
@@ -0,0 +1,102 @@
+import type { ConnectionOptions } from 'node:tls'
+import { cancel } from '@tanagerusher/protocol/peer/cancel'
+import { execute, type ExecuteParams, type ExecuteResult } from '@tanagerusher/protocol/peer/execute'
+import { executeChunk, type ExecuteChunkParams } from '@tanagerusher/protocol/peer/execute-chunk'
+import { executeCredit } from '@tanagerusher/protocol/peer/execute-credit'
+import { groupStatusNotification } from '@tanagerusher/protocol/peer/group-status'
+import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
+import { probeFloor } from '@tanagerusher/protocol/peer/probe-floor'
+import { release } from '@tanagerusher/protocol/peer/release'
+import { watchGroups } from '@tanagerusher/protocol/peer/watch-groups'
+import type { GroupStatus } from '@tanagerusher/state/group/group-status'
+import type { Position } from '@tanagerusher/state/position/position'
+import { openPeerConnection } from '@tanagerusher/transport/peer/open-peer-connection'
+import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
+
+interface OpenOptions {
+  address: { host: string, port: number }
+  hello: PeerHello
+  tls?: ConnectionOptions
+  handleStatus: (status: GroupStatus) => void
+}
+
+/** Takes the chunks of one result. */
+export interface ChunkReceiver {
+  receiveChunk(chunk: ExecuteChunkParams, link: PoolLink): void
+}
+
+const RELEASE_TIMEOUT_MS = 5000
+const CANCEL_TIMEOUT_MS = 5000
+const WATCH_TIMEOUT_MS = 2000
+
+/** Connection to one pool. Chunks of a request that is no longer waited for are dropped. */
+export class PoolLink {
+  readonly closed: Promise<void>
+  readonly address: string
+  readonly #connection: PeerConnection
+  readonly #handleStatus: (status: GroupStatus) => void
+  readonly #receivers = new Map<string, ChunkReceiver>()
+
+  private constructor (connection: PeerConnection, address: string, handleStatus: (status: GroupStatus) => void) {
+    this.#connection = connection
+    this.#handleStatus = handleStatus
+    this.address = address
+    this.closed = connection.closed
+    connection.addNotification(executeChunk, (chunk) => { this.#receivers.get(chunk.requestId)?.receiveChunk(chunk, this) })
+    connection.addNotification(groupStatusNotification, handleStatus)
+  }
+
+  static async open ({ address, hello, tls, handleStatus }: OpenOptions): Promise<PoolLink> {
+    const connection = await openPeerConnection({ ...address, hello, ...(tls === undefined ? {} : { tls }) })
+    return new PoolLink(connection, `${address.host}:${address.port}`, handleStatus)
+  }
+
+  get isOpen (): boolean {
+    return this.#connection.isOpen
+  }
+
+  /** Sends a request. Check `isOpen` in the same turn: a request on a closed link was certainly not sent. */
+  async execute (params: ExecuteParams, receiver: ChunkReceiver, timeoutMs: number): Promise<ExecuteResult> {
+    this.#receivers.set(params.requestId, receiver)
+    try {
+      return await this.#connection.request(execute, params, timeoutMs)
+    } finally {
+      this.#receivers.delete(params.requestId)
+    }
+  }
+
+  /** Chunks of a request may be handled after its result; the receiver stays until it has them all. */
+  keepReceiver (requestId: string, receiver: ChunkReceiver): void {
+    this.#receivers.set(requestId, receiver)
+  }
+
+  removeReceiver (requestId: string): void {
+    this.#receivers.delete(requestId)
+  }
+
+  addCredit (requestId: string, bytes: number): void {
+    this.#connection.notify(executeCredit, { requestId, bytes })
+  }
+
+  async cancel (requestId: string): Promise<boolean> {
+    return (await this.#connection.request(cancel, { requestId }, CANCEL_TIMEOUT_MS)).cancelled
+  }
+
+  /** Ends the session's transaction. Nothing is lost when the link fails: the pool then ends it by itself. */
+  release (sessionId: string): void {
+    this.#connection.request(release, { sessionId }, RELEASE_TIMEOUT_MS).catch(() => {})
+  }
+
+  async probeFloor (group: string, deadlineMs: number): Promise<Position> {
+    return (await this.#connection.request(probeFloor, { group, deadlineMs }, deadlineMs)).position
+  }
+
+  async watchGroups (groups: string[]): Promise<void> {
+    const { statuses } = await this.#connection.request(watchGroups, { groups }, WATCH_TIMEOUT_MS)
+    for (const status of statuses) this.#handleStatus(status)
+  }
+
+  destroy (): void {
+    this.#connection.destroy()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/routing/request-router.ts
@@ -0,0 +1,264 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import { OutcomeClassifier } from '@tanagerusher/coordination/outcome/outcome-classifier'
+import type { RetryPolicy } from '@tanagerusher/coordination/outcome/retry-policy'
+import type { ReplicaSelector } from '@tanagerusher/coordination/session/replica-selector'
+import type { ErrorKind } from '@tanagerusher/errors/catalogue/error-kind'
+import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import type { ExecuteParams, ExecuteResult } from '@tanagerusher/protocol/peer/execute'
+import { findErrorState } from '@tanagerusher/protocol/postgres/find-error-state'
+import type { Database } from '@tanagerusher/state/configuration/database'
+import type { Position } from '@tanagerusher/state/position/position'
+import type { ConfigurationView } from '../link/configuration-view.js'
+import type { FloorProbes } from './floor-probes.js'
+import type { GroupTable } from './group-table.js'
+import type { PoolDirectory } from './pool-directory.js'
+import type { PoolLink } from './pool-link.js'
+import type { RunningRequest } from './running-request.js'
+
+interface CreateOptions {
+  /** Incarnation of the entry; makes request identifiers unique over the fleet and over restarts. */
+  incarnation: string
+  clock: Clock
+  configuration: ConfigurationView
+  groups: GroupTable
+  pools: PoolDirectory
+  probes: FloorProbes
+  selector: ReplicaSelector
+  retryPolicy: RetryPolicy
+  windowBytes: number
+  /** Wait for an answer beyond the deadline that the pool enforces. */
+  answerGraceMs: number
+}
+
+interface Target {
+  database: Database
+  access: 'read' | 'write'
+  floor: Position | null
+  maximumAgeMs: number | undefined
+}
+
+// Failures after which the same work may succeed at another host or database, or a moment later.
+const RETRYABLE = new Set<ErrorKind>(['unavailable', 'peer-failed', 'shutting-down', 'outcome-unknown', 'configuration-stale', 'transaction-lost', 'internal'])
+const READ_ONLY_STATE = '25006'
+const STATUS_WAIT_MS = 250
+// A pool that refused a write knows more than the last status; the next status arrives within this time.
+const REFUSED_WAIT_MS = 50
+const SHORTEST_DEADLINE_MS = 1
+
+/** Sends requests to the pools: chooses the database, keeps to the floor, repeats what may be repeated. */
+export class RequestRouter {
+  readonly #options: CreateOptions
+  readonly #classifier = OutcomeClassifier.create()
+  #counter = 0
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+  }
+
+  static create (options: CreateOptions): RequestRouter {
+    return new RequestRouter(options)
+  }
+
+  /**
+   * Runs a request and keeps the session's pin and floor up to date.
+   * @throws TanagerusherError whose kind states whether the work may have run
+   */
+  async run (request: RunningRequest): Promise<ExecuteResult> {
+    this.#options.retryPolicy.recordRequest()
+    for (let attempt = 0; ; attempt++) {
+      try {
+        const result = request.session.pin === undefined ? await this.#runUnpinned(request) : await this.#runPinned(request, request.session.pin)
+        if (result !== undefined) return result
+      } catch (error) {
+        await this.#handleFailure(request, error as TanagerusherError, attempt)
+      }
+    }
+  }
+
+  /** Undefined: a replica refused the work because it writes; run it at the primary. */
+  async #runUnpinned (request: RunningRequest): Promise<ExecuteResult | undefined> {
+    const { batch, session } = request
+    const target = await this.#chooseTarget(request)
+    const link = this.#options.pools.findLink(target.database, request.excludedHosts) ??
+      await request.wait(this.#options.pools.openLink(target.database, request.entry.group, request.excludedHosts))
+    const transaction = batch.begins ? 'begin' : 'none'
+    const result = await this.#execute(request, link, target, transaction)
+    if (this.#isRefusedWrite(request, target, result)) {
+      request.needsPrimary = true
+      request.progress = 'waiting'
+      return undefined
+    }
+    if (result.transactionStatus !== 'I') session.pin = { link, database: target.database.name, access: target.access }
+    this.#raiseFloor(request, result)
+    return result
+  }
+
+  async #runPinned (request: RunningRequest, { link, database, access }: NonNullable<RunningRequest['session']['pin']>): Promise<ExecuteResult> {
+    if (!link.isOpen) throw TanagerusherError.create('transaction-lost', { details: { reason: 'the pool is gone' } })
+    const target = { database: { name: database } as Database, access, floor: null, maximumAgeMs: undefined }
+    const result = await this.#execute(request, link, target, 'continue')
+    if (result.transactionStatus === 'I') request.session.pin = undefined
+    this.#raiseFloor(request, result)
+    return result
+  }
+
+  async #execute (request: RunningRequest, link: PoolLink, target: Target, transaction: ExecuteParams['transaction']): Promise<ExecuteResult> {
+    request.checkAborted()
+    const leftMs = request.deadline - this.#options.clock.readTime()
+    if (leftMs < SHORTEST_DEADLINE_MS) throw TanagerusherError.create('overloaded', { details: { reason: 'the deadline has passed' } })
+    if (!link.isOpen) throw TanagerusherError.create('unavailable', { details: { group: request.entry.group, reason: 'the pool is gone' } })
+    const params = this.#buildParams(request, target, transaction, leftMs)
+    request.requestId = params.requestId
+    request.link = link
+    request.databaseName = params.database
+    request.progress = 'sent'
+    const result = await link.execute(params, request, leftMs + this.#options.answerGraceMs)
+    if (result.chunks !== request.chunks) await this.#waitForChunks(request, link, result.chunks)
+    return result
+  }
+
+  async #waitForChunks (request: RunningRequest, link: PoolLink, chunks: number): Promise<void> {
+    link.keepReceiver(request.requestId, request)
+    try {
+      await request.waitForChunks(chunks)
+    } finally {
+      link.removeReceiver(request.requestId)
+    }
+  }
+
+  #buildParams ({ session, batch, entry, traceparent }: RunningRequest, target: Target, transaction: ExecuteParams['transaction'], leftMs: number): ExecuteParams {
+    const { idempotencyKey } = batch.comment
+    return {
+      requestId: `${this.#options.incarnation}-${++this.#counter}`,
+      sessionId: session.sessionId,
+      organisation: session.organisation,
+      weight: this.#options.configuration.organisations.get(session.organisation)?.weight ?? 1,
+      entryName: session.entryName,
+      entry,
+      group: entry.group,
+      database: target.database.name,
+      access: target.access,
+      transaction,
+      floor: target.floor,
+      ...(target.maximumAgeMs === undefined ? {} : { maximumAgeMs: target.maximumAgeMs }),
+      deadlineMs: leftMs,
+      ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
+      ...(traceparent === undefined ? {} : { traceparent }),
+      frames: batch.frames as Buffer<ArrayBuffer>,
+      statements: batch.statements as ExecuteParams['statements'],
+      windowBytes: this.#options.windowBytes
+    }
+  }
+
+  async #chooseTarget (request: RunningRequest): Promise<Target> {
+    const { batch, entry, session } = request
+    request.progress = 'waiting'
+    request.isAtReplica = false
+    const isRead = batch.access === 'read' && !request.needsPrimary && (!batch.begins || batch.isReadOnlyBegin)
+    if (isRead) return await this.#chooseReadTarget(request)
+    const database = await this.#waitForPrimary(request)
+    return { database, access: 'write', floor: session.floor.find(entry.group) ?? null, maximumAgeMs: undefined }
+  }
+
+  async #chooseReadTarget (request: RunningRequest): Promise<Target> {
+    const { entry, session } = request
+    const { clock, groups, selector } = this.#options
+    const { maximumAgeMs } = entry
+    let floor = session.floor.find(entry.group) ?? null
+    if (floor === null && (maximumAgeMs === undefined || !entry.readsOnReplicas)) floor = await this.#findFloor(request)
+    const waitingSince = clock.readTime()
+    while (entry.readsOnReplicas) {
+      const choice = selector.choose({ floor, maximumAgeMs, waitingSince, excluded: request.excludedDatabases }, groups.listCandidates(entry.group), clock.readTime())
+      if (choice.type === 'wait') {
+        await request.wait(groups.waitForStatus(entry.group, choice.until - clock.readTime()))
+        continue
+      }
+      const database = choice.type === 'use' && !choice.isPrimary ? this.#findDatabase(entry.group, choice.database) : undefined
+      if (database === undefined) break
+      request.isAtReplica = true
+      return { database, access: 'read', floor, maximumAgeMs }
+    }
+    // A primary that was cut off may not know of its successor; only a floor makes a read there safe.
+    floor ??= await this.#findFloor(request)
+    return { database: await this.#waitForPrimary(request), access: 'read', floor, maximumAgeMs: undefined }
+  }
+
+  async #findFloor (request: RunningRequest): Promise<Position> {
+    const { entry, session, deadline } = request
+    const floor = await request.wait(this.#options.probes.findFloor(entry.group, session.beganAt, deadline))
+    session.floor.raise(entry.group, floor)
+    return floor
+  }
+
+  async #waitForPrimary (request: RunningRequest): Promise<Database> {
+    const { clock, groups } = this.#options
+    const { group } = request.entry
+    for (;;) {
+      request.checkAborted()
+      const primary = groups.findPrimary(group)
+      const database = primary === null ? undefined : this.#findDatabase(group, primary)
+      if (database !== undefined) return database
+      const leftMs = request.deadline - clock.readTime()
+      if (leftMs <= 0) throw TanagerusherError.create('unavailable', { details: { group, reason: 'no primary is known' } })
+      await request.wait(groups.waitForStatus(group, Math.min(leftMs, STATUS_WAIT_MS)))
+    }
+  }
+
+  #findDatabase (group: string, name: string): Database | undefined {
+    return this.#options.configuration.groups.get(group)?.databases.find((database) => database.name === name)
+  }
+
+  #isRefusedWrite ({ isAtReplica, hasOutput, batch }: RunningRequest, { access }: Target, { frames }: ExecuteResult): boolean {
+    if (!isAtReplica || access !== 'read' || hasOutput || batch.begins) return false
+    return findErrorState(frames) === READ_ONLY_STATE
+  }
+
+  #raiseFloor ({ session, entry }: RunningRequest, { position }: ExecuteResult): void {
+    if (position !== null) session.floor.raise(entry.group, position)
+  }
+
+  /** Returns when the request is to be tried again, else throws what the caller is told. */
+  async #handleFailure (request: RunningRequest, failure: TanagerusherError, attempt: number): Promise<void> {
+    const { batch, entry, session } = request
+    const isPinned = session.pin !== undefined
+    const error = failure instanceof TanagerusherError ? failure : TanagerusherError.create('internal', { details: { reason: String(failure) }, cause: failure })
+    const progress = request.progress === 'sent' && error.kind !== 'peer-failed' ? 'rejected' : request.progress
+    // A block that began with this request is rolled back when its connection is lost, unless the request also commits.
+    const isInTransaction = isPinned || batch.begins
+    const outcome = this.#classifier.classify({ progress, kind: error.kind, isInTransaction, commits: batch.commits })
+    if (isPinned) this.#dropPin(request)
+    const isRepeatable = entry.repeatable || batch.comment.idempotencyKey !== undefined || request.isAtReplica
+    const decision = request.isAborted || request.hasOutput || !RETRYABLE.has(error.kind)
+      ? { type: 'fail' as const }
+      : this.#options.retryPolicy.decide({ attempt, outcome, isRepeatable, isInTransaction: isPinned, deadline: request.deadline }, this.#options.clock.readTime())
+    if (decision.type === 'fail') throw createFinalError(error, outcome, request, isPinned)
+    this.#excludeFailed(request, error)
+    const delayMs = error.kind === 'unavailable' && !request.isAtReplica ? Math.max(decision.delayMs, REFUSED_WAIT_MS) : decision.delayMs
+    request.progress = 'waiting'
+    if (delayMs > 0) await request.wait(this.#options.groups.waitForStatus(entry.group, delayMs))
+  }
+
+  /** The transaction is over for the caller; what remains of it at the pool is rolled back. */
+  #dropPin ({ session }: RunningRequest): void {
+    if (session.pin?.link.isOpen === true) session.pin.link.release(session.sessionId)
+    session.pin = undefined
+  }
+
+  #excludeFailed (request: RunningRequest, { kind }: TanagerusherError): void {
+    if (request.isAtReplica && request.databaseName !== '') request.excludedDatabases.add(request.databaseName)
+    if (kind === 'shutting-down' && request.link !== undefined) request.excludedHosts.add(request.link.address)
+  }
+}
+
+function createFinalError (error: TanagerusherError, outcome: 'not-run' | 'unknown', { entry }: RunningRequest, isPinned: boolean): TanagerusherError {
+  const { kind, definition } = error
+  if (outcome === 'unknown') return kind === 'outcome-unknown' ? error : TanagerusherError.create('outcome-unknown', { details: { reason: describeReason(error) }, cause: error })
+  if (definition.outcome === 'not-run') return error
+  if (isPinned) return TanagerusherError.create('transaction-lost', { details: { reason: describeReason(error) }, cause: error })
+  return TanagerusherError.create('unavailable', { details: { group: entry.group, reason: describeReason(error) }, cause: error })
+}
+
+/** Addresses of hosts stay out of what callers see. */
+function describeReason ({ kind, details }: TanagerusherError): string {
+  return kind === 'peer-failed' ? `the pool did not answer: ${details.reason}` : String(details.reason ?? kind)
+}
--- /dev/null
+++ b/packages/entry/src/session/build-local-answer.ts
@@ -0,0 +1,20 @@
+import { backendMessages } from '@tanagerusher/protocol/postgres/backend-messages'
+import { frontendTypes } from '@tanagerusher/protocol/postgres/frontend-types'
+import type { Batch } from './batch.js'
+
+const EMPTY_QUERY_RESPONSE = Buffer.from([0x49, 0, 0, 0, 4])
+const BIND_COMPLETE = Buffer.from([0x32, 0, 0, 0, 4])
+const NO_DATA = Buffer.from([0x6e, 0, 0, 0, 4])
+
+/** Backend messages that answer a batch without an upstream. `tag` is the command tag of what it executes. */
+export function buildLocalAnswer (batch: Batch, tag: string): Buffer {
+  if (batch.type === 'simple') return tag === '' ? EMPTY_QUERY_RESPONSE : backendMessages.encodeCommandComplete(tag)
+  return Buffer.concat(batch.messageTypes.map((type) => answerMessage(type, tag)))
+}
+
+function answerMessage (type: number, tag: string): Buffer {
+  if (type === frontendTypes.parse) return backendMessages.encodeParseComplete()
+  if (type === frontendTypes.bind) return BIND_COMPLETE
+  if (type === frontendTypes.describe) return NO_DATA
+  return type === frontendTypes.close ? backendMessages.encodeCloseComplete() : backendMessages.encodeCommandComplete(tag)
+}
--- /dev/null
+++ b/packages/entry/src/session/session-tokens.ts
@@ -0,0 +1,55 @@
+import { createHmac, timingSafeEqual } from 'node:crypto'
+import { sessionToken, type SessionTokenPayload } from '@tanagerusher/coordination/session/session-token'
+import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import { err, ok, type Result } from 'neverthrow'
+
+interface TokenKey {
+  id: string
+  secret: string
+}
+
+interface CreateOptions {
+  /** The first key signs; all are accepted, so that keys can be exchanged without breaking sessions. */
+  keys: readonly TokenKey[]
+}
+
+/** Signs and checks session tokens: `payload.keyId.mac`, payload and HMAC-SHA256 in base64url. */
+export class SessionTokens {
+  readonly #signingKey: TokenKey
+  readonly #keys: Map<string, TokenKey>
+
+  private constructor ({ keys }: CreateOptions) {
+    this.#signingKey = keys[0] as TokenKey
+    this.#keys = new Map(keys.map((key) => [key.id, key]))
+  }
+
+  static create (options: CreateOptions): SessionTokens {
+    return new SessionTokens(options)
+  }
+
+  build (payload: SessionTokenPayload): string {
+    const text = Buffer.from(sessionToken.encode(payload)).toString('base64url')
+    return `${text}.${this.#signingKey.id}.${computeMac(this.#signingKey, text).toString('base64url')}`
+  }
+
+  /** Checks the token's authenticity and that it belongs to `organisation`. */
+  check (token: string, organisation: string): Result<SessionTokenPayload, TanagerusherError> {
+    const [text, keyId, mac, ...rest] = token.split('.')
+    const key = this.#keys.get(keyId ?? '')
+    if (text === undefined || mac === undefined || rest.length > 0 || key === undefined) return fail('malformed or signed with an unknown key')
+    const expected = computeMac(key, text)
+    const found = Buffer.from(mac, 'base64url')
+    if (found.length !== expected.length || !timingSafeEqual(found, expected)) return fail('not authentic')
+    const payload = sessionToken.decode(Buffer.from(text, 'base64url').toString('utf8'))
+    if (payload.isErr()) return fail(payload.error)
+    return payload.value.organisation === organisation ? ok(payload.value) : fail('issued for another organisation')
+  }
+}
+
+function computeMac (key: TokenKey, text: string): Buffer {
+  return createHmac('sha256', key.secret).update(`${key.id}.${text}`).digest()
+}
+
+function fail (reason: string): Result<never, TanagerusherError> {
+  return err(TanagerusherError.create('session-token-invalid', { details: { reason } }))
+}
