--- a/packages/coordination/src/session/replica-selector.ts
+++ b/packages/coordination/src/session/replica-selector.ts
@@ -5,7 +5,7 @@
 interface CreateOptions {
   dataCentre: string
   region: string
-  /** Longest time that a read waits for a replica that is behind its floor. */
+  /** Longest time that a read waits for a replica that is behind its floor; the replica's pool does the waiting. */
   catchUpWaitMs: number
   /** A member whose status is older than this is not chosen. */
   statusMaximumAgeMs: number
@@ -30,19 +30,21 @@
   /** Lowest position that the read must see; null where only `maximumAgeMs` applies. */
   floor: Position | null
   maximumAgeMs: number | undefined
-  /** When the read began to wait; the primary serves it after `catchUpWaitMs`. */
-  waitingSince: number
+  /** When the read was first routed; replicas that are behind are not tried once `catchUpWaitMs` have passed. */
+  routedAt: number
   /** Databases that failed this read already. */
   excluded: ReadonlySet<string>
 }
 
-export type ReplicaChoice =
-  | { type: 'use', database: string, isPrimary: boolean }
-  /** A replica is expected to catch up: choose again when a status arrives, at the latest at `until`. */
-  | { type: 'wait', until: number }
-  | { type: 'none' }
+export interface ReplicaChoice {
+  database: string
+  isPrimary: boolean
+}
 
-/** Chooses the database for a read: fresh enough, then near, then idle; the primary is the last resort. */
+/**
+ * Chooses the database for a read: a replica that is fresh enough, else one that is expected to catch up, of these the
+ * nearest, then the least loaded; the primary is the last resort.
+ */
 export class ReplicaSelector {
   readonly #options: CreateOptions
 
@@ -54,20 +56,19 @@
     return new ReplicaSelector(options)
   }
 
-  choose (request: ReadRequest, candidates: readonly ReplicaCandidate[], now: number): ReplicaChoice {
-    let best: ReplicaCandidate | undefined
+  /** Undefined when no database that is known can serve the read. */
+  choose (request: ReadRequest, candidates: readonly ReplicaCandidate[], now: number): ReplicaChoice | undefined {
+    let fresh: ReplicaCandidate | undefined
+    let behind: ReplicaCandidate | undefined
     let primary: ReplicaCandidate | undefined
-    let canCatchUp = false
     for (const candidate of candidates) {
       if (!this.#isUsable(candidate, request, now)) continue
       if (candidate.isPrimary) primary = candidate
-      else if (isFresh(candidate, request, now)) best = best === undefined ? candidate : this.#prefer(best, candidate)
-      else if (this.#isCatchingUp(candidate, request, now)) canCatchUp = true
+      else if (isFresh(candidate, request, now)) fresh = this.#prefer(fresh, candidate)
+      else if (this.#isCatchingUp(candidate, request, now)) behind = this.#prefer(behind, candidate)
     }
-    if (best !== undefined) return { type: 'use', database: best.database, isPrimary: false }
-    const until = request.waitingSince + this.#options.catchUpWaitMs
-    if (canCatchUp && until > now) return { type: 'wait', until }
-    return primary === undefined ? { type: 'none' } : { type: 'use', database: primary.database, isPrimary: true }
+    const chosen = fresh ?? behind ?? primary
+    return chosen === undefined ? undefined : { database: chosen.database, isPrimary: chosen.isPrimary }
   }
 
   #isUsable (candidate: ReplicaCandidate, { excluded }: ReadRequest, now: number): boolean {
@@ -76,11 +77,13 @@
   }
 
   /** A replica of the floor's term whose data is young lacks only the last entries. */
-  #isCatchingUp ({ log, age }: ReplicaCandidate, { floor }: ReadRequest, now: number): boolean {
+  #isCatchingUp ({ log, age }: ReplicaCandidate, { floor, routedAt }: ReadRequest, now: number): boolean {
+    if (now - routedAt >= this.#options.catchUpWaitMs) return false
     return floor !== null && log.term === floor.term && age.isWithin(this.#options.catchUpWaitMs, now)
   }
 
-  #prefer (left: ReplicaCandidate, right: ReplicaCandidate): ReplicaCandidate {
+  #prefer (left: ReplicaCandidate | undefined, right: ReplicaCandidate): ReplicaCandidate {
+    if (left === undefined) return right
     const distance = this.#computeDistance(right) - this.#computeDistance(left)
     return distance < 0 || (distance === 0 && right.load < left.load) ? right : left
   }
--- /dev/null
+++ b/packages/coordination/test/session/floor-probe.test.ts
@@ -0,0 +1,31 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { FloorProbe } from '../../src/session/floor-probe.js'
+
+const position = { term: 1, position: 7 }
+const deadline = 1000
+
+describe('FloorProbe', () => {
+  // Guards against a probe that was sent before the session began: it may lie below the caller's last write elsewhere.
+  it('gives a session the probe after the one under way when it began', () => {
+    const probe = FloorProbe.create({ retryDelayMs: 100 })
+    assert.deepEqual(probe.handle({ type: 'wait', waiter: 1, since: 0, deadline }, 1), [{ type: 'send', probe: 1 }])
+    assert.deepEqual(probe.handle({ type: 'wait', waiter: 2, since: 5, deadline }, 6), [])
+    assert.deepEqual(probe.handle({ type: 'succeeded', probe: 1, position }, 10), [
+      { type: 'resolve', waiters: [1], position }, { type: 'send', probe: 2 }
+    ])
+    assert.deepEqual(probe.handle({ type: 'succeeded', probe: 2, position }, 12), [{ type: 'resolve', waiters: [2], position }])
+    assert.deepEqual(probe.handle({ type: 'wait', waiter: 3, since: 9, deadline }, 20), [{ type: 'resolve', waiters: [3], position }])
+  })
+
+  it('sends a failed probe again after a delay, drops its late answer and gives up at the deadline', () => {
+    const probe = FloorProbe.create({ retryDelayMs: 100 })
+    probe.handle({ type: 'wait', waiter: 1, since: 0, deadline }, 1)
+    assert.deepEqual(probe.handle({ type: 'failed', probe: 1 }, 10), [])
+    assert.equal(probe.findNextDeadline(), 110)
+    assert.deepEqual(probe.handle({ type: 'tick' }, 110), [{ type: 'send', probe: 2 }])
+    assert.deepEqual(probe.handle({ type: 'succeeded', probe: 1, position }, 120), [])
+    assert.deepEqual(probe.handle({ type: 'tick' }, deadline), [{ type: 'expire', waiters: [1] }])
+    assert.equal(probe.findNextDeadline(), undefined)
+  })
+})
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -116,12 +116,12 @@
   }
 
   async #start (): Promise<void> {
-    const { address, controls, peerPort, metricsPort, grantWaitMs } = this.#settings
+    const { address, control, peerPort, metricsPort, grantWaitMs } = this.#settings
     this.#peerServer = await PeerServer.open({
       address, port: peerPort, ...this.#getPeerOptions(), handleConnection: (connection) => { this.#acceptPeer(connection) }
     })
     this.#control = ControlLink.create({
-      controls,
+      controls: control,
       address: { host: address, port: this.#peerServer.port },
       ...this.#getPeerOptions(),
       clock: this.#clock,
--- a/packages/entry/src/routing/request-router.ts
+++ b/packages/entry/src/routing/request-router.ts
@@ -40,6 +40,7 @@
 // Failures after which the same work may succeed at another host or database, or a moment later.
 const RETRYABLE = new Set<ErrorKind>(['unavailable', 'peer-failed', 'shutting-down', 'outcome-unknown', 'configuration-stale', 'transaction-lost', 'internal'])
 const READ_ONLY_STATE = '25006'
+const READ_ONLY_REASON = 'read-only'
 const STATUS_WAIT_MS = 250
 // A pool that refused a write knows more than the last status; the next status arrives within this time.
 const REFUSED_WAIT_MS = 50
@@ -166,17 +167,15 @@
     const { maximumAgeMs } = entry
     let floor = session.floor.find(entry.group) ?? null
     if (floor === null && (maximumAgeMs === undefined || !entry.readsOnReplicas)) floor = await this.#findFloor(request)
-    const waitingSince = clock.readTime()
-    while (entry.readsOnReplicas) {
-      const choice = selector.choose({ floor, maximumAgeMs, waitingSince, excluded: request.excludedDatabases }, groups.listCandidates(entry.group), clock.readTime())
-      if (choice.type === 'wait') {
-        await request.wait(groups.waitForStatus(entry.group, choice.until - clock.readTime()))
-        continue
-      }
-      const database = choice.type === 'use' && !choice.isPrimary ? this.#findDatabase(entry.group, choice.database) : undefined
-      if (database === undefined) break
+    const now = clock.readTime()
+    request.routedAt ??= now
+    const choice = entry.readsOnReplicas
+      ? selector.choose({ floor, maximumAgeMs, routedAt: request.routedAt, excluded: request.excludedDatabases }, groups.listCandidates(entry.group), now)
+      : undefined
+    const replica = choice === undefined || choice.isPrimary ? undefined : this.#findDatabase(entry.group, choice.database)
+    if (replica !== undefined) {
       request.isAtReplica = true
-      return { database, access: 'read', floor, maximumAgeMs }
+      return { database: replica, access: 'read', floor, maximumAgeMs }
     }
     // A primary that was cut off may not know of its successor; only a floor makes a read there safe.
     floor ??= await this.#findFloor(request)
@@ -220,6 +219,10 @@
   /** Returns when the request is to be tried again, else throws what the caller is told. */
   async #handleFailure (request: RunningRequest, failure: TanagerusherError, attempt: number): Promise<void> {
     const { batch, entry, session } = request
+    if (request.isAtReplica && isReadOnlyRefusal(failure)) {
+      request.needsPrimary = true
+      return
+    }
     const isPinned = session.pin !== undefined
     const error = failure instanceof TanagerusherError ? failure : TanagerusherError.create('internal', { details: { reason: String(failure) }, cause: failure })
     const progress = request.progress === 'sent' && error.kind !== 'peer-failed' ? 'rejected' : request.progress
@@ -250,6 +253,11 @@
   }
 }
 
+/** A pool tells the refusal of a write by a read-only session apart from other reasons. */
+function isReadOnlyRefusal ({ kind, details }: TanagerusherError): boolean {
+  return kind === 'unavailable' && details?.reason === READ_ONLY_REASON
+}
+
 function createFinalError (error: TanagerusherError, outcome: 'not-run' | 'unknown', { entry }: RunningRequest, isPinned: boolean): TanagerusherError {
   const { kind, definition } = error
   if (outcome === 'unknown') return kind === 'outcome-unknown' ? error : TanagerusherError.create('outcome-unknown', { details: { reason: describeReason(error) }, cause: error })
--- a/packages/entry/src/routing/running-request.ts
+++ b/packages/entry/src/routing/running-request.ts
@@ -47,6 +47,8 @@
   requestId = ''
   databaseName = ''
   link: PoolLink | undefined
+  /** When it was first sent on its way to a replica. */
+  routedAt: number | undefined
   /** Set when a replica refused the work because it writes. */
   needsPrimary = false
   /** The last try went to a database whose sessions are read-only. */
--- a/packages/entry/src/settings/entry-settings.ts
+++ b/packages/entry/src/settings/entry-settings.ts
@@ -9,7 +9,7 @@
   callerPort: port.default(6432).describe('Port for callers (PostgreSQL protocol)'),
   peerPort: port.default(7433).describe('Port for other entries, which forward cancel requests'),
   metricsPort: port.default(9433).describe('HTTP port of /metrics, /live and /ready'),
-  controls: z.array(z.object({ host: z.ipv4(), port })).min(1).describe("Addresses of control processes, the own host's first"),
+  control: z.array(z.object({ host: z.ipv4(), port })).min(1).describe("Addresses of control processes, the own host's first"),
   sessionKeys: z.array(z.object({ id: z.string().regex(/^[\w-]{1,16}$/), secret: z.string().min(32) })).min(1)
     .describe('Fleet keys that authenticate session tokens. The first signs, all are accepted; the same on every host'),
   callerTls: z.object({
