--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -38,7 +38,6 @@
 
 type PeerTls = { ca: Buffer, cert: Buffer, key: Buffer }
 
-const SWEEP_MS = 1000
 const DRAIN_CHECK_MS = 20
 const PROBE_TIMEOUT_MS = 2000
 const RETRY_SETTINGS = { baseDelayMs: 50, maximumDelayMs: 500, budgetRatio: 0.1, maximumBudget: 100 }
@@ -138,7 +137,7 @@
       services: this.#createServices(),
       handleCancel: async (processId, secret) => { await forwarder.cancel(processId, secret) }
     })
-    this.#sweepTimer = setInterval(() => { this.#sweep() }, SWEEP_MS)
+    this.#sweepTimer = setInterval(() => { this.#sweep() }, this.#settings.sweepMs)
     this.#logger.info('entry listens', { address, callerPort: this.callerPort, peerPort: this.peerPort, metricsPort: this.metricsPort })
   }
 
--- a/packages/entry/src/settings/entry-settings.ts
+++ b/packages/entry/src/settings/entry-settings.ts
@@ -39,7 +39,8 @@
   configurationMaximumAgeMs: milliseconds.default(10_000).describe('The host stops serving when its configuration is confirmed no later than this'),
   answerGraceMs: milliseconds.default(2000).describe('Wait for a pool beyond the statement deadline that it enforces'),
   drainTimeoutMs: milliseconds.default(30_000).describe('Longest graceful shutdown; transactions still open are then rolled back'),
-  certificateCheckMs: milliseconds.default(10_000)
+  certificateCheckMs: milliseconds.default(10_000),
+  sweepMs: milliseconds.default(1000).describe('Interval at which the time limits of callers are checked')
 })
 
 export type EntrySettings = z.infer<typeof entrySettingsSchema>
