Measure the failover gap beside a store lease; wait for fresh statuses after a promotion

Cause: GroupMonitor judged the statuses from before a promotion again as soon as it ended and started the next one, up to 20 terms in 150 ms, which delayed the followers.

--- a/packages/coordination/src/failover/group-monitor.ts
+++ b/packages/coordination/src/failover/group-monitor.ts
@@ -68,7 +68,7 @@
       case 'refused': this.#applyRefused(event.database, now); break
       case 'members': this.#replaceMembers(event.members, now); break
       case 'rank': this.#rank = event.rank; break
-      case 'promotion-ended': this.#endPromotion(event.retryAfterMs, now); break
+      case 'promotion-ended': this.#endPromotion(event, now); break
       case 'tick': break
     }
     return [...this.#decidePromotion(now), ...this.#decideRepairs(now)]
@@ -113,10 +113,14 @@
     }
   }
 
-  #endPromotion (retryAfterMs: number, now: number): void {
+  /**
+   * After a success the known statuses still show the lost primary. Acting on them would raise the term against the new
+   * primary again and again, so the next promotion waits until fresh statuses had time to arrive.
+   */
+  #endPromotion ({ succeeded, retryAfterMs }: { succeeded: boolean, retryAfterMs: number }, now: number): void {
     this.#promoting = false
     this.#suspectedAt = undefined
-    this.#notBefore = now + retryAfterMs
+    this.#notBefore = now + (succeeded ? Math.max(retryAfterMs, this.#suspectAfterMs) : retryAfterMs)
   }
 
   #decidePromotion (now: number): MonitorEffect[] {
--- /dev/null
+++ b/packages/load/src/experiments/failover/run-failover-case.ts
@@ -0,0 +1,107 @@
+import { SeededRandom } from '../../random/seeded-random.js'
+import { VirtualTime } from '../common/virtual-time.js'
+import { CandidateHost } from './candidate-host.js'
+import { FakeGroup } from './fake-group.js'
+import { FakeStore } from './fake-store.js'
+import { StoreLeasePermit } from './store-lease-permit.js'
+
+export interface FailoverScenario {
+  name: string
+  fault: 'crash' | 'cut-off'
+  storeOutage: boolean
+  /** The host that would act first is lost together with the primary. */
+  loseFirstHost: boolean
+}
+
+export interface FailoverMechanism {
+  name: string
+  role: 'product' | 'baseline'
+  promotion: 'majority' | 'store-lease'
+  acknowledgement: 'majority' | 'primary'
+}
+
+interface FailoverOutcome {
+  /** Pause between acknowledgements around the fault; the horizon when none came after it. */
+  gapMs: number
+  recovered: boolean
+  falselyAcknowledged: number
+}
+
+const HOSTS = 3
+const FAULT_MS = 10_000
+const HORIZON_MS = 30_000
+/** A case ends early once writes have been acknowledged again for a while. */
+const SHORTEST_MS = 5000
+const STEP_MS = 1000
+const OUTAGE_BEFORE_FAULT_MS = 5000
+const WRITE_INTERVAL_MS = 20
+
+/** Runs one seeded case: steady writes from two hosts, one fault, and what became of the writes. */
+export function runFailoverCase (scenario: FailoverScenario, mechanism: FailoverMechanism, seed: number): FailoverOutcome {
+  const random = SeededRandom.create(`${scenario.name}/${seed}`)
+  const time = VirtualTime.create()
+  const group = FakeGroup.create({ time, random: random.createChild('group') })
+  const store = FakeStore.create({ time, random: random.createChild('store') })
+  const hosts = buildHosts({ time, group, store, mechanism, seed })
+  const faultMs = FAULT_MS + random.takeFraction() * 1000
+  const acknowledged: Array<{ id: string, atMs: number }> = []
+  const writers = [hosts[1], hosts[2]] as CandidateHost[]
+  for (const [index, host] of writers.entries()) startWriter({ host, name: `w${index}`, time, waitForMajority: mechanism.acknowledgement === 'majority', acknowledged })
+  if (scenario.storeOutage) time.schedule(faultMs - OUTAGE_BEFORE_FAULT_MS, () => { store.isAvailable = false })
+  time.schedule(faultMs, () => { applyFault(scenario, group, hosts) })
+  let endMs = faultMs + SHORTEST_MS
+  time.runUntil(endMs)
+  for (; !isAnswered(acknowledged, endMs) && endMs < faultMs + HORIZON_MS; endMs += STEP_MS) time.runUntil(endMs + STEP_MS)
+  return { ...measureGap(acknowledged, faultMs, endMs), falselyAcknowledged: countLost(acknowledged, group) }
+}
+
+function buildHosts ({ time, group, store, mechanism, seed }: { time: VirtualTime, group: FakeGroup, store: FakeStore, mechanism: FailoverMechanism, seed: number }): CandidateHost[] {
+  const hosts: CandidateHost[] = []
+  for (let rank = 0; rank < HOSTS; rank++) {
+    const name = `h${rank}`
+    const permit = mechanism.promotion === 'majority'
+      ? { mayPromote: () => true }
+      : StoreLeasePermit.create({ host: name, store, time, isAlive: () => hosts[rank]?.isAlive ?? true })
+    hosts.push(CandidateHost.create({ name, rank, seed: seed * HOSTS + rank, group, time, permit }))
+  }
+  return hosts
+}
+
+/** One writer stays inside the partition with the old primary, as callers next to it do. */
+function applyFault ({ fault, loseFirstHost }: FailoverScenario, group: FakeGroup, hosts: CandidateHost[]): void {
+  group.hostInside = 'h2'
+  if (fault === 'crash') group.crash('d0')
+  else group.cutOff('d0')
+  if (loseFirstHost && hosts[0] !== undefined) hosts[0].isAlive = false
+}
+
+function startWriter ({ host, name, time, waitForMajority, acknowledged }: {
+  host: CandidateHost, name: string, time: VirtualTime, waitForMajority: boolean, acknowledged: Array<{ id: string, atMs: number }>
+}): void {
+  const write = (count: number): void => {
+    const id = `${name}-${count}`
+    host.write(id, waitForMajority, () => acknowledged.push({ id, atMs: time.readTime() }))
+    time.schedule(WRITE_INTERVAL_MS, () => { write(count + 1) })
+  }
+  write(0)
+}
+
+function isAnswered (acknowledged: Array<{ id: string, atMs: number }>, nowMs: number): boolean {
+  return acknowledged.some(({ id, atMs }) => id.startsWith('w0') && atMs > nowMs - STEP_MS)
+}
+
+/** The writer outside the partition counts; the one inside still reaches the old primary. */
+function measureGap (acknowledged: Array<{ id: string, atMs: number }>, faultMs: number, endMs: number): { gapMs: number, recovered: boolean } {
+  const times = acknowledged.filter(({ id }) => id.startsWith('w0')).map(({ atMs }) => atMs).sort((left, right) => left - right)
+  let gapMs = 0
+  for (let index = 1; index < times.length; index++) {
+    if ((times[index] as number) >= faultMs) gapMs = Math.max(gapMs, (times[index] as number) - (times[index - 1] as number))
+  }
+  const recovered = isAnswered(acknowledged, endMs)
+  return { gapMs: recovered ? gapMs : HORIZON_MS, recovered }
+}
+
+function countLost (acknowledged: Array<{ id: string }>, group: FakeGroup): number {
+  const survivors = group.listSurvivors()
+  return acknowledged.filter(({ id }) => !survivors.has(id)).length
+}
