--- /dev/null
+++ b/packages/load/src/experiments/fairness/run-fairness-case.ts
@@ -0,0 +1,68 @@
+import { SeededRandom } from '../../random/seeded-random.js'
+import { VirtualTime } from '../common/virtual-time.js'
+import type { QueuePolicy } from './queue-policy.js'
+
+export interface Arrivals {
+  organisation: string
+  perSecond: number
+  meanServiceMs: number
+}
+
+export interface Completion {
+  organisation: string
+  dueMs: number
+  /** Absent when the request was refused or its deadline passed. */
+  endMs?: number
+}
+
+interface FairnessCaseOptions {
+  policy: QueuePolicy
+  arrivals: Arrivals[]
+  durationMs: number
+  seed: string
+}
+
+const DEADLINE_MS = 10_000
+const MAXIMUM_QUEUED = 1000
+const EXPIRE_INTERVAL_MS = 100
+
+/** Drives one database's queue with Poisson arrivals and exponential service times. */
+export function runFairnessCase ({ policy, arrivals, durationMs, seed }: FairnessCaseOptions): Completion[] {
+  const time = VirtualTime.create()
+  const completions: Completion[] = []
+  const requests = new Map<string, { completion: Completion, serviceMs: number }>()
+  const startNext = (): void => {
+    for (let next = policy.start(time.readTime()); next !== undefined; next = policy.start(time.readTime())) run(next.id)
+  }
+  const run = (id: string): void => {
+    const request = requests.get(id)
+    if (request === undefined) return
+    time.schedule(request.serviceMs, () => {
+      request.completion.endMs = time.readTime()
+      requests.delete(id)
+      policy.finish(id, time.readTime())
+      startNext()
+    })
+  }
+  const arrive = (source: Arrivals, random: SeededRandom, count: number): void => {
+    const now = time.readTime()
+    const id = `${source.organisation}-${count}`
+    const completion: Completion = { organisation: source.organisation, dueMs: now }
+    completions.push(completion)
+    requests.set(id, { completion, serviceMs: random.takeInterval(source.meanServiceMs) })
+    policy.enqueue({ id, organisation: source.organisation, weight: 1, serviceClass: 'interactive', deadline: now + DEADLINE_MS, maximumQueued: MAXIMUM_QUEUED }, now)
+    startNext()
+    time.schedule(random.takeInterval(1000 / source.perSecond), () => { arrive(source, random, count + 1) })
+  }
+  const expire = (): void => {
+    policy.expire(time.readTime())
+    time.schedule(EXPIRE_INTERVAL_MS, expire)
+  }
+  for (const source of arrivals) {
+    const random = SeededRandom.create(`${seed}/${source.organisation}`)
+    time.schedule(random.takeInterval(1000 / source.perSecond), () => { arrive(source, random, 0) })
+  }
+  expire()
+  time.runUntil(durationMs)
+  return completions
+}
--- a/packages/load/src/measures/measure-false-rejections.ts
+++ b/packages/load/src/measures/measure-false-rejections.ts
@@ -1,5 +1,10 @@
 import type { History } from '../history/history.js'
 
+interface Offered {
+  operations: ReadonlyArray<{ organisation: string, startMs: number, statements: number, sqlState?: string | undefined }>
+  organisations: History['organisations']
+}
+
 const RATE_EXCEEDED = '53400'
 
 /**
@@ -7,7 +12,7 @@
  * meter also takes what was refused, so an organisation that exceeds its rate has no request inside it until its load
  * falls; the debt is limited to one burst.
  */
-export function measureFalseRejections ({ operations, organisations }: History): { inside: number, refused: number } {
+export function measureFalseRejections ({ operations, organisations }: Offered): { inside: number, refused: number } {
   const total = { inside: 0, refused: 0 }
   for (const [name, { rate, burst }] of Object.entries(organisations)) {
     let level = burst
