--- a/packages/load/src/experiments/budget/grant-policy.ts
+++ b/packages/load/src/experiments/budget/grant-policy.ts
@@ -3,11 +3,13 @@
 import { Delegation } from '@tanagerusher/coordination/budget/delegation'
 import { GrantHolder, type GrantHolderEffect } from '@tanagerusher/coordination/budget/grant-holder'
 import { listPartitionHomes } from '@tanagerusher/coordination/budget/list-partition-homes'
-import { ShareTable, type ShareRow } from '@tanagerusher/coordination/budget/share-table'
+import { ShareTable } from '@tanagerusher/coordination/budget/share-table'
 import type { SeededRandom } from '../../random/seeded-random.js'
 import type { VirtualTime } from '../common/virtual-time.js'
 import type { AdmissionPolicy } from './admission-policy.js'
 
+interface ShareRow { host: string, incarnation: string, address: string }
+
 interface Host {
   row: ShareRow
   isAlive: boolean
@@ -38,6 +40,7 @@
 /** The product's share table, delegations, homes and grants, joined by messages with a delay in virtual time. */
 export class GrantPolicy implements AdmissionPolicy {
   storeCalls = 0
+  #sequence = 0
   #isStoreAvailable = true
   readonly #options: CreateOptions
   readonly #hosts: Host[]
@@ -121,7 +124,7 @@
     const now = this.#options.time.readTime()
     const share = giver.shares.readShare(now)
     const isPreferred = (): boolean => this.#findHome(giver) === home
-    const given = giver.delegation.delegate({ home: home.row.incarnation, partitions: [this.#partition], isPreferred, shareValidMs: share.validMs }, now)
+    const given = giver.delegation.delegate({ home: home.row.incarnation, sequence: ++this.#sequence, partitions: [this.#partition], isPreferred, shareValidMs: share.validMs }, now)
     return { ...given, fraction: share.fraction }
   }
 
