--- /dev/null
+++ b/packages/load/src/fleet/build-tables.ts
@@ -0,0 +1,32 @@
+import type { Workload } from '../workload/workload.js'
+
+interface Table {
+  name: string
+  columns: Array<{ name: string, type: 'text' | 'bigint' | 'timestamptz', notNull?: boolean }>
+  primaryKey?: string[]
+  indexes?: string[]
+}
+
+/**
+ * Tables of a workload's databases. Identifiers are not unique there, so that work which ran twice leaves two rows for
+ * the audit to find instead of an error.
+ */
+export function buildTables ({ classes }: Workload): Table[] {
+  const columns = new Map(classes.map(({ table, column }) => [table, column]))
+  const tables: Table[] = [...columns].map(([name, column]) => ({
+    name,
+    columns: [{ name: 'id', type: 'text', notNull: true }, { name: 'session', type: 'text' }, { name: column, type: 'bigint' }],
+    indexes: ['session']
+  }))
+  const requests: Table = {
+    name: 'tanagerusher_request',
+    columns: [
+      { name: 'idempotency_key', type: 'text', notNull: true },
+      { name: 'digest', type: 'text' },
+      { name: 'response', type: 'text' },
+      { name: 'created_at', type: 'timestamptz' }
+    ],
+    primaryKey: ['idempotency_key']
+  }
+  return [...tables, requests]
+}
--- /dev/null
+++ b/packages/load/src/fleet/fleet-plan.ts
@@ -0,0 +1,19 @@
+/** A process of the fleet and its settings. */
+export interface PlannedProcess {
+  name: string
+  program: string
+  settings: object
+}
+
+interface PlannedDatabase {
+  name: string
+  port: number
+}
+
+/** Everything that the launcher starts, and the addresses of it. */
+export interface FleetPlan {
+  store: PlannedProcess & { url: string, controlUrl: string }
+  groups: Array<PlannedProcess & { databases: PlannedDatabase[], controlUrl: string }>
+  hosts: Array<{ name: string, processes: PlannedProcess[], entryPort: number, administrationUrl: string, metricsUrl: string }>
+  passwords: Record<string, string>
+}
--- /dev/null
+++ b/packages/load/src/generator/build-callers.ts
@@ -0,0 +1,38 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { Fleet } from '../fleet/fleet.js'
+import { SeededRandom } from '../random/seeded-random.js'
+import type { CallerClass } from '../workload/workload.js'
+import type { Caller } from './load-generator.js'
+import { RoamingSession, type EntryAddress } from './roaming-session.js'
+
+interface BuildCallersOptions {
+  fleet: Fleet
+  clock: Clock
+  seed: number
+  /** Start of the sessions' names; two loads of one run need different ones. */
+  label: string
+  organisation: string
+  callerClass: CallerClass
+  sessions: number
+  perSecond: number
+  /** Host that the sessions keep to; absent means all hosts. */
+  host?: string | undefined
+}
+
+/** Builds the callers of one organisation and class. Together they send `perSecond` pieces of work a second. */
+export function buildCallers ({ fleet, clock, seed, label, organisation, callerClass, sessions, perSecond, host }: BuildCallersOptions): Caller[] {
+  const entries: readonly EntryAddress[] = host === undefined ? fleet.entries : fleet.entries.filter((entry) => entry.host === host)
+  const index = fleet.options.workload.organisations.findIndex(({ name }) => name === organisation)
+  const group = fleet.plan.groups[index % fleet.plan.groups.length]?.name ?? ''
+  return Array.from({ length: sessions }, (_, number) => {
+    const session = `${label}-${organisation}-${callerClass.name}-${number}`
+    const random = SeededRandom.create(`${seed}/${session}`)
+    const identity = { session, organisation, keyName: `${organisation}#1`, password: fleet.plan.passwords[organisation] ?? '', entry: `${organisation}-${callerClass.name}`, group }
+    return {
+      callerClass,
+      random: random.createChild('work'),
+      intervalMs: 1000 * sessions / perSecond,
+      session: RoamingSession.create({ identity, entries, clock, random: random.createChild('hosts') })
+    }
+  })
+}
--- a/packages/load/src/generator/roaming-session.ts
+++ b/packages/load/src/generator/roaming-session.ts
@@ -176,12 +176,13 @@
       endMs: this.#clock.readTime(),
       ...(dueMs === undefined ? {} : { dueMs }),
       ...told,
-      statements: work.kind === 'transaction' ? work.writes.length : 1,
+      statements: work.statements.length,
       writes: work.writes,
       rolledBack: work.rollback,
       acceptsStale: false,
       ...(work.kind === 'read' && answer.outcome === 'run' ? { observed: rows.map((row) => String(row['id'])) } : {}),
-      ...(checkable ? { marker: work.marker, answerMarker: String(answered) } : {})
+      ...(checkable ? { marker: work.marker, answerMarker: String(answered) } : {}),
+      ...(rows[0]?.['replica'] === undefined ? {} : { servedBy: rows[0]['replica'] === true ? 'replica' : 'primary' })
     }
   }
 }
--- a/packages/load/src/workload/build-work.ts
+++ b/packages/load/src/workload/build-work.ts
@@ -25,7 +25,7 @@
 }
 
 function buildRead ({ table }: CallerClass, session: string, id: string): Work {
-  const text = `SELECT id, session, '${id}' AS marker FROM ${table} WHERE session = $1`
+  const text = `SELECT id, session, '${id}' AS marker, pg_is_in_recovery() AS replica FROM ${table} WHERE session = $1`
   return { kind: 'read', statements: [{ text, values: [session] }], writes: [], rollback: false, marker: id }
 }
 
