--- a/packages/entry/src/settings/entry-settings.ts
+++ b/packages/entry/src/settings/entry-settings.ts
@@ -9,7 +9,7 @@
   callerPort: port.default(6432).describe('Port for callers (PostgreSQL protocol)'),
   peerPort: port.default(7433).describe('Port for other entries, which forward cancel requests'),
   metricsPort: port.default(9433).describe('HTTP port of /metrics, /live and /ready'),
-  controls: z.array(z.object({ host: z.ipv4(), port })).min(1).describe("Addresses of control processes, the own host's first"),
+  control: z.array(z.object({ host: z.ipv4(), port })).min(1).describe("Addresses of control processes, the own host's first"),
   sessionKeys: z.array(z.object({ id: z.string().regex(/^[\w-]{1,16}$/), secret: z.string().min(32) })).min(1)
     .describe('Fleet keys that authenticate session tokens. The first signs, all are accepted; the same on every host'),
   callerTls: z.object({
@@ -39,7 +39,8 @@
   configurationMaximumAgeMs: milliseconds.default(10_000).describe('The host stops serving when its configuration is confirmed no later than this'),
   answerGraceMs: milliseconds.default(2000).describe('Wait for a pool beyond the statement deadline that it enforces'),
   drainTimeoutMs: milliseconds.default(30_000).describe('Longest graceful shutdown; transactions still open are then rolled back'),
-  certificateCheckMs: milliseconds.default(10_000)
+  certificateCheckMs: milliseconds.default(10_000),
+  sweepMs: milliseconds.default(1000).describe('Interval at which the time limits of callers are checked')
 })
 
 export type EntrySettings = z.infer<typeof entrySettingsSchema>
