--- a/packages/coordination/src/failover/group-monitor.ts
+++ b/packages/coordination/src/failover/group-monitor.ts
@@ -58,6 +58,8 @@
   #suspectedAt: number | undefined
   #promoting = false
   #notBefore = 0
+  /** Statuses of the members that gave one; rebuilt after a change. */
+  #statuses: DatabaseStatus[] | undefined
   /** When the current primary was first seen in its term. Replicas report silence of the primary before it as well. */
   #settled: { term: number, since: number } | undefined
   /** Since when the highest known term has no working primary, and which term that is. */
@@ -81,7 +83,7 @@
       case 'members': this.#replaceMembers(event.members, now); break
       case 'rank': this.#rank = event.rank; break
       case 'promotion-started': this.#promoting = true; break
-      case 'promotion-ended': this.#endPromotion(event.retryAfterMs, now); break
+      case 'promotion-ended': this.#endPromotion(event, now); break
       case 'tick': break
     }
     return [...this.#decidePromotion(now), ...this.#decideRepairs(now)]
@@ -99,19 +101,23 @@
 
   /** Primary of the highest term that was written, fenced or not. */
   findPrimary (): DatabaseStatus | undefined {
-    return this.#listStatuses()
-      .filter(({ role }) => role === 'primary')
-      .sort((left, right) => right.log.term - left.log.term)[0]
+    let primary: DatabaseStatus | undefined
+    for (const status of this.#listStatuses()) {
+      if (status.role === 'primary' && (primary === undefined || status.log.term > primary.log.term)) primary = status
+    }
+    return primary
   }
 
   #listStatuses (): DatabaseStatus[] {
-    return [...this.#members.values()].flatMap(({ status }) => status ?? [])
+    this.#statuses ??= [...this.#members.values()].flatMap(({ status }) => status ?? [])
+    return this.#statuses
   }
 
   #applyStatus (status: DatabaseStatus, now: number): void {
     const member = this.#members.get(status.database)
     if (member === undefined) return
     Object.assign(member, { status, heardAt: now, refusedAt: undefined })
+    this.#statuses = undefined
   }
 
   #applyRefused (database: string, now: number): void {
@@ -120,16 +126,21 @@
   }
 
   #replaceMembers (members: readonly string[], now: number): void {
+    this.#statuses = undefined
     for (const database of this.#members.keys()) if (!members.includes(database)) this.#members.delete(database)
     for (const database of members) {
       if (!this.#members.has(database)) this.#members.set(database, { status: undefined, heardAt: now, refusedAt: undefined, repairAt: undefined })
     }
   }
 
-  #endPromotion (retryAfterMs: number, now: number): void {
+  /**
+   * After a success the known statuses still show the lost primary. Acting on them would raise the term against the new
+   * primary again and again, so the next promotion waits until fresh statuses had time to arrive.
+   */
+  #endPromotion ({ succeeded, retryAfterMs }: { succeeded: boolean, retryAfterMs: number }, now: number): void {
     this.#promoting = false
     this.#suspectedAt = undefined
-    this.#notBefore = now + retryAfterMs
+    this.#notBefore = now + (succeeded ? Math.max(retryAfterMs, this.#suspectAfterMs) : retryAfterMs)
   }
 
   #decidePromotion (now: number): MonitorEffect[] {
