Add metrics and spans of the pool; replace tasks whose address or limits change

Cause: operators need waits, upstream times and promotions; a changed address left the old task in use; work with a key after a read on the same connection began its transaction read-only and was refused. Conclusion: the session is made writable before BEGIN; the test of keys reads first.

--- a/packages/pool/src/database/active-request.ts
+++ b/packages/pool/src/database/active-request.ts
@@ -12,6 +12,8 @@
   connection?: PooledConnection | undefined
   relay?: ResultRelay | undefined
   cancelling?: Promise<boolean> | undefined
+  /** Context of the request's span, when it is traced. */
+  traceparent?: string
   isTimedOut: boolean
   /** The entry that sent it is gone. */
   isAbandoned: boolean
--- a/packages/pool/src/database/database-task.ts
+++ b/packages/pool/src/database/database-task.ts
@@ -8,9 +8,11 @@
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import type { ExecuteParams, ExecuteResult } from '@tanagerusher/protocol/peer/execute'
 import type { Database } from '@tanagerusher/state/configuration/database'
+import type { Tracing } from '@tanagerusher/runtime/trace/tracing'
 import type { Logger } from 'winston'
 import type { GroupTask } from '../group/group-task.js'
 import { encodeErrorResponse } from '../upstream/encode-error-response.js'
+import type { PoolMetrics } from '../process/pool-metrics.js'
 import type { ActiveRequest } from './active-request.js'
 import { ConnectionSet } from './connection-set.js'
 import { isTransactionEnd } from './is-transaction-end.js'
@@ -27,6 +29,8 @@
   catchUpWaitMs: number
   clock: Clock
   logger: Logger
+  metrics: PoolMetrics
+  tracing: Tracing
 }
 
 interface ExecuteOptions {
@@ -41,8 +45,8 @@
 const CANCEL_GRACE_MS = 500
 /** Time for the first status of the members after a start. */
 const QUORUM_WAIT_MS = 500
-/** SQLSTATEs with which an upstream refuses work before executing it: not writable, starting or stopping. */
-const REFUSALS = new Set(['25006', '57P01', '57P02', '57P03'])
+/** SQLSTATEs with which an upstream refuses work before executing it: not writable, not accepting work. */
+const REFUSALS = new Set(['25006', '57P03'])
 const QUERY_CANCELLED = '57014'
 
 /**
@@ -87,6 +91,12 @@
     return new DatabaseTask(options)
   }
 
+  /** Whether the task fits this configuration; a changed address or limit needs a new task. */
+  fits ({ host, port, slots, connections }: Database): boolean {
+    const { database } = this.#options
+    return database.host === host && database.port === port && database.slots === slots && database.connections === connections
+  }
+
   get name (): string { return this.#options.database.name }
   get groupName (): string { return this.#options.group.name }
   get load (): number { return this.#scheduler.running + this.#scheduler.waiting }
@@ -132,9 +142,17 @@
     }
     const request: ActiveRequest = { params, owner, sendChunk, deadline: this.#now() + params.deadlineMs, isTimedOut: false, isAbandoned: false }
     this.#requests.set(params.requestId, request)
+    const { metrics, tracing } = this.#options
+    const span = tracing.startSpan('pool.execute', params.traceparent, { 'db.name': this.name, 'tanagerusher.group': this.groupName })
+    if (span !== undefined) request.traceparent = tracing.formatTraceparent(span)
     try {
-      return params.transaction === 'continue' ? await this.#continue(request) : await this.#begin(request)
+      const result = params.transaction === 'continue' ? await this.#continue(request) : await this.#begin(request)
+      metrics.recordOutcome('answered')
+      span?.end()
+      return result
     } catch (error) {
+      tracing.endWithError(span, error as Error)
+      metrics.recordOutcome(error instanceof TanagerusherError ? error.kind : 'cancelled')
       if (error instanceof CancelledWhileWaiting) return buildCancelledResult()
       throw error
     } finally {
@@ -162,6 +180,7 @@
 
   /** The session is over: its open transaction is rolled back with its connection. */
   release (sessionId: string): void {
+    for (const request of this.#requests.values()) if (request.params.sessionId === sessionId) request.isAbandoned = true
     const connection = this.#pinned.get(sessionId)
     if (connection !== undefined) this.#destroy(connection)
   }
@@ -184,7 +203,9 @@
     const { params } = request
     if (params.access === 'read') await this.#checkFreshness(params)
     else await this.#checkWritable()
+    const askedAt = this.#now()
     const connection = await this.#acquire(request)
+    this.#options.metrics.recordWait(this.#now() - askedAt)
     return await this.#run(request, connection)
   }
 
@@ -266,7 +287,11 @@
       throw params.transaction === 'continue' ? this.#createLost() : this.#createError('unavailable', 'the connection was lost before the request was sent')
     }
     const termBefore = group.readStatus(this.name)?.log.term
-    const outcome = await this.#send(request, connection)
+    const { metrics, tracing } = this.#options
+    const sentAt = this.#now()
+    const span = request.traceparent === undefined ? undefined : tracing.startSpan('upstream.statement', request.traceparent, { 'db.name': this.name })
+    const outcome = await this.#send(request, connection).finally(() => { span?.end() })
+    metrics.recordUpstream(this.#now() - sentAt)
     await this.#settle(request, connection, outcome)
     return await this.#answer(request, outcome, termBefore)
   }
@@ -367,7 +392,9 @@
     if (outcome.error !== undefined && outcome.isRejected) return { ...result, position: null }
     const isRolledBack = outcome.tags.at(-1) === 'ROLLBACK'
     try {
+      const askedAt = this.#now()
       await this.#options.group.confirm(status.log, request.deadline)
+      this.#options.metrics.recordConfirmation(this.#now() - askedAt)
     } catch (error) {
       if (isRolledBack) return { ...result, position: null }
       throw isRead ? this.#createError('unavailable', 'what the read saw was not confirmed by a majority') : error
--- a/packages/pool/src/database/run-idempotent.ts
+++ b/packages/pool/src/database/run-idempotent.ts
@@ -36,6 +36,9 @@
   const { params, idempotency } = options
   const isTransaction = params.transaction === 'begin'
   const digest = idempotency.computeDigest({ organisation: params.organisation, entryName: params.entryName, isTransaction, frames: params.frames, statements: params.statements })
+  // Inside a transaction the switch would come too late.
+  const switching = options.connection.switchReadOnly(false)
+  if (switching !== undefined) await send(options.connection, switching)
   const work = { ...options, digest, key: quote(`${params.organisation}/${params.idempotencyKey as string}`) }
   return isTransaction ? await beginTransaction(work) : await runAutocommit(work)
 }
@@ -139,8 +142,12 @@
 }
 
 async function query (connection: PooledConnection, text: string): Promise<CollectedRows> {
+  return await send(connection, serialize.query(text))
+}
+
+async function send (connection: PooledConnection, bytes: Uint8Array): Promise<CollectedRows> {
   return await new Promise((resolve, reject) => {
-    connection.upstream.send(serialize.query(text), RowCollector.create((result) => {
+    connection.upstream.send(bytes, RowCollector.create((result) => {
       if ('closed' in result) reject(new Error(result.closed))
       else resolve(result)
     }))
--- a/packages/pool/src/group/group-task.ts
+++ b/packages/pool/src/group/group-task.ts
@@ -29,6 +29,7 @@
   readLoad: (database: string) => number
   /** The task of a database that this pool owns; undefined for the others. */
   findOwnDatabase: (database: string) => PausableDatabase | undefined
+  handlePromotion: (succeeded: boolean) => void
   /** The group's state changed; notifications are sent at most every few milliseconds. */
   handleChange: (task: GroupTask) => void
 }
@@ -289,6 +290,7 @@
       handleEnd: (result) => {
         this.#handleMonitor({ type: 'promotion-ended', ...result })
         handleEnd(result.succeeded)
+        this.#options.handlePromotion(result.succeeded)
       }
     })
     this.#handleMonitor({ type: 'promotion-started' })
--- a/packages/pool/src/process/pool-process.ts
+++ b/packages/pool/src/process/pool-process.ts
@@ -5,6 +5,8 @@
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
 import { SystemClock } from '@tanagerusher/runtime/clock/system-clock'
+import { MetricsServer } from '@tanagerusher/runtime/metrics/metrics-server'
+import { Tracing } from '@tanagerusher/runtime/trace/tracing'
 import { createLogger } from '@tanagerusher/runtime/log/create-logger'
 import { PeerServer } from '@tanagerusher/transport/peer/peer-server'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
@@ -14,6 +16,7 @@
 import type { GroupTask } from '../group/group-task.js'
 import { EntryConnection } from '../peer/entry-connection.js'
 import type { PoolSettings } from '../settings/pool-settings.js'
+import { PoolMetrics } from './pool-metrics.js'
 import { StatusSender } from './status-sender.js'
 import { TaskRegistry } from './task-registry.js'
 
@@ -34,6 +37,9 @@
   readonly #configuration = PoolConfiguration.create()
   readonly #registry: TaskRegistry
   readonly #sender: StatusSender
+  readonly #metrics: PoolMetrics
+  readonly #tracing: Tracing
+  #metricsServer: MetricsServer | undefined
   readonly #entries = new Set<EntryConnection>()
   readonly #timers: NodeJS.Timeout[] = []
   #server!: PeerServer
@@ -46,11 +52,17 @@
     this.#clock = SystemClock.create()
     this.#logger = createLogger({ label: 'pool', level: settings.logLevel, fields: { host: settings.host, dataCentre: settings.dataCentre } })
     this.#sender = StatusSender.create({ send: (task) => { this.#sendStatus(task) } })
+    this.#tracing = Tracing.create({ settings: settings.trace, program: 'tanagerusher-pool', host: settings.host, dataCentre: settings.dataCentre })
+    this.#metrics = PoolMetrics.create(() => [...this.#registry.databases].map((task) => ({
+      group: task.groupName, database: task.name, load: task.load, connections: task.connectionCount, openTransactions: task.openTransactions
+    })))
     this.#registry = TaskRegistry.create({
       settings,
       configuration: this.#configuration,
       clock: this.#clock,
       logger: this.#logger,
+      metrics: this.#metrics,
+      tracing: this.#tracing,
       seed: Number.parseInt(randomUUID().slice(0, 7), 16),
       isWatched: (group) => [...this.#entries].some((entry) => entry.isWatching(group)),
       handleStatus: (task) => { this.#sender.schedule(task) }
@@ -77,6 +89,8 @@
     await Promise.race([this.#server.close(), wait(DRAIN_POLL_MS * 10)])
     this.#server.destroy()
     this.#registry.close()
+    await this.#metricsServer?.close()
+    await this.#tracing.close()
   }
 
   async #open (): Promise<void> {
@@ -100,6 +114,10 @@
       setInterval(() => { this.#registry.closeUnused() }, MAINTENANCE_MS),
       setInterval(() => { for (const task of this.#registry.groups) this.#sender.schedule(task) }, this.#sender.refreshMs)
     )
+    const { metricsPort } = this.#settings
+    if (metricsPort !== undefined) {
+      this.#metricsServer = await MetricsServer.open({ address, port: metricsPort, registry: this.#metrics.registry, isReady: () => this.#isReady() })
+    }
     this.#logger.info('pool listens', { address, port: this.#server.port })
   }
 
@@ -116,6 +134,10 @@
     this.#entries.add(entry)
   }
 
+  #isReady (): boolean {
+    return !this.#isStopping && this.#configuration.computeAgeMs(this.#clock.readTime()) <= this.#settings.staleConfigurationMs
+  }
+
   #checkServing (): void {
     if (this.#isStopping) throw TanagerusherError.create('shutting-down')
     const ageMs = this.#configuration.computeAgeMs(this.#clock.readTime())
--- a/packages/pool/src/process/task-registry.ts
+++ b/packages/pool/src/process/task-registry.ts
@@ -2,12 +2,15 @@
 import { chooseDatabaseOwners } from '@tanagerusher/coordination/membership/choose-database-owners'
 import { computeRendezvousOrder } from '@tanagerusher/coordination/membership/compute-rendezvous-order'
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import type { Database } from '@tanagerusher/state/configuration/database'
 import type { Group } from '@tanagerusher/state/configuration/group'
 import type { Logger } from 'winston'
+import type { Tracing } from '@tanagerusher/runtime/trace/tracing'
 import type { PoolConfiguration } from '../configuration/pool-configuration.js'
 import { DatabaseTask } from '../database/database-task.js'
 import { GroupTask } from '../group/group-task.js'
 import type { PoolSettings } from '../settings/pool-settings.js'
+import type { PoolMetrics } from './pool-metrics.js'
 import { SqlDatabaseGroup } from '../upstream/sql-database-group.js'
 
 interface CreateOptions {
@@ -19,6 +22,8 @@
   /** Whether an entry watches the group. */
   isWatched: (group: string) => boolean
   handleStatus: (task: GroupTask) => void
+  metrics: PoolMetrics
+  tracing: Tracing
 }
 
 /** Unowned tasks serve requests that came here after a change of owner; they end when nobody uses them. */
@@ -32,6 +37,8 @@
   readonly #groups = new Map<string, GroupTask>()
   readonly #databases = new Map<string, DatabaseTask>()
   readonly #usedAt = new Map<string, number>()
+  /** Tasks of a configuration that has changed; they finish what is under way. */
+  readonly #retired = new Set<DatabaseTask>()
 
   private constructor (options: CreateOptions) {
     this.#options = options
@@ -42,7 +49,7 @@
   }
 
   get groups (): Iterable<GroupTask> { return this.#groups.values() }
-  get databases (): Iterable<DatabaseTask> { return this.#databases.values() }
+  get databases (): Iterable<DatabaseTask> { return [...this.#databases.values(), ...this.#retired] }
 
   /** Starts tasks for what this host owns now, updates the others, and ends those whose object is gone. */
   update (): void {
@@ -68,9 +75,9 @@
     if (known !== undefined) return known
     const database = group.group.databases.find((candidate) => candidate.name === name)
     if (database === undefined) throw createUnavailable(groupName, `database ${name} is not known here`)
-    const { settings, clock, logger } = this.#options
+    const { settings, clock, logger, metrics, tracing } = this.#options
     const task = DatabaseTask.create({
-      database, group, clock, logger, applicationName: `tanagerusher-pool ${settings.host}`, catchUpWaitMs: settings.catchUpWaitMs
+      database, group, clock, logger, metrics, tracing, applicationName: `tanagerusher-pool ${settings.host}`, catchUpWaitMs: settings.catchUpWaitMs
     })
     this.#databases.set(key, task)
     return task
@@ -79,6 +86,11 @@
   /** Ends tasks that this host does not own and that nobody has used for a while. */
   closeUnused (): void {
     const limit = this.#options.clock.readTime() - UNUSED_LIMIT_MS
+    for (const task of this.#retired) {
+      if (task.isBusy) continue
+      this.#retired.delete(task)
+      task.close()
+    }
     for (const [key, task] of this.#databases) {
       if (this.#isOwned(task.groupName, task.name) || task.isBusy || (this.#usedAt.get(key) ?? 0) > limit) continue
       this.#databases.delete(key)
@@ -92,7 +104,7 @@
   }
 
   close (): void {
-    for (const task of this.#databases.values()) task.close()
+    for (const task of this.databases) task.close()
     for (const task of this.#groups.values()) task.close()
     this.#databases.clear()
     this.#groups.clear()
@@ -105,6 +117,7 @@
     if (task.group !== group) task.updateGroup(group)
     task.updateRank(rank)
     for (const database of group.databases) {
+      this.#retireChanged(`${name}/${database.name}`, database)
       const known = this.#databases.get(`${name}/${database.name}`)
       if (this.#isOwned(name, database.name)) this.findDatabase(name, database.name).warm()
       known?.setLeaving(database.leaving)
@@ -116,8 +129,16 @@
     }
   }
 
+  #retireChanged (key: string, database: Database): void {
+    const task = this.#databases.get(key)
+    if (task === undefined || task.fits(database)) return
+    this.#databases.delete(key)
+    this.#retired.add(task)
+    task.refuseNewWork('unavailable')
+  }
+
   #openGroup (name: string, group: Group): GroupTask {
-    const { settings, clock, logger, seed, handleStatus } = this.#options
+    const { settings, clock, logger, seed, handleStatus, metrics } = this.#options
     const task = GroupTask.create({
       name,
       group,
@@ -129,6 +150,7 @@
       rankDelayMs: settings.promotionDelayMs,
       readLoad: (database) => this.#databases.get(`${name}/${database}`)?.load ?? 0,
       findOwnDatabase: (database) => this.#isOwned(name, database) ? this.findDatabase(name, database) : undefined,
+      handlePromotion: (succeeded) => { metrics.recordPromotion(succeeded) },
       handleChange: handleStatus
     })
     this.#groups.set(name, task)
--- a/packages/pool/src/upstream/sql-database-group.ts
+++ b/packages/pool/src/upstream/sql-database-group.ts
@@ -38,12 +38,15 @@
     return new SqlDatabaseGroup(group, applicationName)
   }
 
-  /** Takes a changed configuration; connections to databases that are gone are closed. */
+  /** Takes a changed configuration; connections to databases that are gone or moved are closed. */
   update (group: Group): void {
+    const unchanged = group.databases.filter(({ name, host, port }) => (
+      this.#group.databases.some((known) => known.name === name && known.host === host && known.port === port)
+    ))
     this.#group = group
     for (const [key, opening] of this.#connections) {
       const [, database] = key.split(' ')
-      if (group.databases.some(({ name }) => name === database)) continue
+      if (unchanged.some(({ name }) => name === database)) continue
       this.#connections.delete(key)
       opening.then((connection) => { connection.close() }, () => {})
     }
--- a/packages/pool/test/process/pool-process.test.ts
+++ b/packages/pool/test/process/pool-process.test.ts
@@ -105,6 +105,8 @@
   })
 
   it('runs work with a key once, repeats its first answer, and refuses other work under the key', async () => {
+    // The only slot's connection is read-only after this; the record's transaction must not be.
+    await scene.execute({ sql: find('k1'), access: 'read' })
     const first = await scene.execute({ sql: insert('k1'), idempotencyKey: 'k1' })
     const again = await scene.execute({ sql: insert('k1'), idempotencyKey: 'k1' })
     assert.deepEqual(Buffer.from(again.frames), Buffer.from(first.frames))
