--- a/packages/pool/test/process/pool-process.test.ts
+++ b/packages/pool/test/process/pool-process.test.ts
@@ -117,6 +117,19 @@
     await assert.rejects(scene.execute({ sql: 'BEGIN', transaction: 'begin', idempotencyKey: 'k3' }), { kind: 'transaction-already-run' })
   })
 
+  // Guards against a payment that a caller sends twice at the same time, over two connections.
+  it('runs simultaneous repeats of work with a key once and gives all the same answer', async () => {
+    const wide = await Scene.start({ slots: 4 })
+    try {
+      const sql = insert('m1')
+      const repeats = await Promise.all([1, 2, 3, 4].map(async (number) => await wide.execute({ sql, idempotencyKey: 'm1', sessionId: `m${number}` })))
+      for (const { frames } of repeats) assert.deepEqual(Buffer.from(frames), Buffer.from(repeats[0]?.frames ?? []))
+      assert.equal(readValues((await wide.execute({ sql: find('m1') })).frames).rows.length, 1)
+    } finally {
+      await wide.close()
+    }
+  })
+
   // Guards against a payment that runs twice because the answer to its commit was lost.
   it('finds work whose commit answer was lost by its key', async () => {
     await scene.setFaults({ databases: { a: { dropCommitAnswers: 1 } } })
