Run work that was taken for a read as a write when the primary refused it as read-only

Cause: entries repeat such work as a write only when a replica refused it; at the primary it was refused again until the deadline, for example a SELECT of a function that writes in a group whose reads go to the primary. Conclusion: the pool reruns it at once; the refusal came before execution.

--- a/packages/pool/src/database/active-request.ts
+++ b/packages/pool/src/database/active-request.ts
@@ -4,7 +4,7 @@
 
 /** One request of an entry from its arrival to its answer. */
 export interface ActiveRequest {
-  readonly params: ExecuteParams
+  params: ExecuteParams
   /** Identifies the peer connection that the request came over. */
   readonly owner: string
   readonly deadline: number
--- a/packages/pool/src/database/database-task.ts
+++ b/packages/pool/src/database/database-task.ts
@@ -48,6 +48,8 @@
 /** SQLSTATEs with which an upstream refuses work before executing it: not writable, not accepting work. */
 const REFUSALS = new Set(['25006', '57P03'])
 const QUERY_CANCELLED = '57014'
+/** Entries send work that a replica refused for this reason to the primary. */
+const READ_ONLY_REASON = 'read-only'
 
 /**
  * Owns the connections to one database and runs requests on them: fair queue, slot, connection, work, confirmation. A
@@ -146,7 +148,7 @@
     const span = tracing.startSpan('pool.execute', params.traceparent, { 'db.name': this.name, 'tanagerusher.group': this.groupName })
     if (span !== undefined) request.traceparent = tracing.formatTraceparent(span)
     try {
-      const result = params.transaction === 'continue' ? await this.#continue(request) : await this.#begin(request)
+      const result = params.transaction === 'continue' ? await this.#continue(request) : await this.#runNew(request)
       metrics.recordOutcome('answered')
       span?.end()
       return result
@@ -198,6 +200,19 @@
     this.#refuseWaiting('the pool closes')
   }
 
+  /** Work that was taken for a read but writes was refused before it ran; the primary runs it as a write. */
+  async #runNew (request: ActiveRequest): Promise<ExecuteResult> {
+    try {
+      return await this.#begin(request)
+    } catch (error) {
+      const isRefusedWrite = error instanceof TanagerusherError && error.details.reason === READ_ONLY_REASON && request.params.transaction === 'none'
+      if (!isRefusedWrite || this.#options.group.findPrimary()?.database !== this.name) throw error
+      request.params = { ...request.params, access: 'write' }
+      this.#pending.setPhase(request.params.requestId, 'waiting')
+      return await this.#begin(request)
+    }
+  }
+
   async #begin (request: ActiveRequest): Promise<ExecuteResult> {
     this.#checkServing()
     const { params } = request
@@ -378,7 +393,7 @@
     const { params } = request
     const isRead = params.access === 'read'
     if (outcome.isRejected && outcome.error !== undefined && params.transaction !== 'continue' && REFUSALS.has(outcome.error.code)) {
-      throw this.#createError('unavailable', outcome.error.code === '25006' && isRead ? 'read-only' : outcome.error.text)
+      throw this.#createError('unavailable', outcome.error.code === '25006' && isRead ? READ_ONLY_REASON : outcome.error.text)
     }
     const result = { frames: outcome.frames, transactionStatus: outcome.status, chunks: outcome.chunks }
     if (outcome.status !== 'I') return { ...result, position: null }
