Send pipelined answers of a database session in one write

A dropped commit answer now leaves the earlier answers of the pipeline intact and stops the session; wire.test guards it. Conclusion: answers leave when no message is left to handle or one has to wait.

--- a/packages/database/src/wire/wire-connection.ts
+++ b/packages/database/src/wire/wire-connection.ts
@@ -56,7 +56,7 @@
     this.#outbound = HeldChannel.create({
       delayMs: outboundMs,
       isBlocked: () => faults.isPaused(member.name) || faults.isClientBlocked(member.name, address, 'answers'),
-      deliver: (bytes) => { if (!socket.destroyed) socket.write(bytes) }
+      deliver: (bytes) => { if (socket.writable) socket.write(bytes) }
     })
     this.#unwatch = faults.watch(() => {
       this.#inbound.release()
@@ -110,6 +110,7 @@
       const pending = this.#session === undefined ? this.#handleLogIn(message) : this.#session.handle(message, this.#queue[0])
       if (pending instanceof Promise) this.#waitFor(pending)
     }
+    if (!this.#isClosed) this.#session?.flush()
     if (this.#queue.length <= QUEUE_LIMIT && this.#options.socket.isPaused()) this.#options.socket.resume()
   }
 
--- a/packages/database/src/wire/wire-session.ts
+++ b/packages/database/src/wire/wire-session.ts
@@ -55,6 +55,8 @@
   /** After an error in extended mode everything up to Sync is skipped. */
   #skipsToSync = false
   #isClosed = false
+  /** Length of the complete answers in the writer; what follows belongs to the message in hand. */
+  #answeredBytes = 0
 
   private constructor ({ environment, socket, send, processId, startup, writer }: CreateOptions) {
     this.#environment = environment
@@ -78,12 +80,18 @@
       ['standard_conforming_strings', 'standard_conforming_strings'], ['timezone', 'TimeZone']] as const) writer.addParameterStatus(display, this.#settings.read(name))
     writer.addBackendKeyData(this.processId, this.secret)
     writer.addReadyForQuery('I')
-    this.#flush()
+    this.flush()
+  }
+
+  /** Sends what was answered. Called when no message is left to handle, so that pipelined answers leave in one write. */
+  flush (): void {
+    this.#answeredBytes = 0
+    if (!this.#isClosed && this.#writer.length > 0) this.#send(this.#writer.take())
   }
 
   /** Handles one message. `next` is the message behind it, when it has arrived. */
   handle (message: FrontendMessage, next: FrontendMessage | undefined): MaybePromise {
-    if (this.#skipsToSync && message.type !== 'S' && message.type !== 'X') return
+    if (this.#isClosed || (this.#skipsToSync && message.type !== 'S' && message.type !== 'X')) return
     try {
       const pending = this.#dispatch(message, next)
       if (pending instanceof Promise) return pending.catch((error: unknown) => { this.#handleError(error, message) })
@@ -116,7 +124,7 @@
       case 'E': return this.#execute(BodyReader.create(body), next?.type === 'S')
       case 'C': return this.#closeStatement(BodyReader.create(body))
       case 'S': return this.#sync()
-      case 'H': return this.#flush()
+      case 'H': return
       case 'X': this.#socket.end()
         return
       // Messages of a COPY that was never started are ignored, as the protocol says.
@@ -254,7 +262,7 @@
       portal.sent++
       this.#writer.addDataRow(value)
       if (this.#writer.length < FLUSH_BYTES) continue
-      this.#flush()
+      this.flush()
       if (this.#socket.writableLength > UNSENT_LIMIT_BYTES && rest > 0) {
         return this.#waitForDrain().then(() => this.#sendRows(portal, rest === Infinity ? 0 : rest, tag))
       }
@@ -355,8 +363,9 @@
   /** Closes the connection without an answer when the fault is set and the commit wrote something. */
   #answerCommit (wrote: boolean): void {
     if (!wrote || !this.#environment.faults.takeDroppedCommitAnswer(this.#environment.member.name)) return
-    this.#writer.take()
-    this.#socket.destroy()
+    this.#isClosed = true
+    this.#send(this.#writer.take().subarray(0, this.#answeredBytes))
+    this.#socket.destroySoon()
   }
 
   #findStatement (name: string): PreparedStatement {
@@ -383,11 +392,8 @@
 
   #sendReady (): void {
     this.#writer.addReadyForQuery(this.#executor.status)
-    this.#flush()
-  }
-
-  #flush (): void {
-    if (this.#writer.length > 0) this.#send(this.#writer.take())
+    this.#answeredBytes = this.#writer.length
+    if (this.#writer.length > FLUSH_BYTES) this.flush()
   }
 }
 
--- a/packages/database/test/wire.test.ts
+++ b/packages/database/test/wire.test.ts
@@ -14,7 +14,7 @@
   status?: string
 }
 
-/** Sends messages in one write and returns the answers up to the expected number of ReadyForQuery messages. */
+/** Sends messages in one write and returns the answers up to the expected number of ReadyForQuery messages, or up to the end. */
 async function exchange (messages: Buffer[], readyCount: number): Promise<Answer[]> {
   const startup = serialize.startup({ user: 'proxy', database: 'ledger' })
   const socket = connect(group.findPort('a'), '127.0.0.1', () => { socket.write(Buffer.concat([startup, ...messages])) })
@@ -22,6 +22,7 @@
   let ready = 0
   await new Promise<void>((resolve, reject) => {
     socket.once('error', reject)
+    socket.once('close', () => { resolve() })
     void parse(socket, (message) => {
       if (ready > 0) answers.push(message as unknown as Answer)
       if (message.name === 'readyForQuery' && ++ready === readyCount + 1) resolve()
@@ -99,6 +100,16 @@
     assert.ok(rows.every(({ n }, index) => n === index + 1))
   })
 
+  // Guards against a lost answer that takes the answers of earlier requests along.
+  it('sends the answers before a commit whose answer is dropped', async () => {
+    await group.setFaults({ databases: { a: { dropCommitAnswers: 1 } } })
+    const insert = serialize.query("INSERT INTO payment (id) VALUES ('dropped')")
+    const answers = await exchange([serialize.query('SELECT 1'), insert, serialize.query("INSERT INTO payment (id) VALUES ('after')")], 3)
+    assert.deepEqual(answers.map(({ name }) => name), ['rowDescription', 'dataRow', 'commandComplete', 'readyForQuery'])
+    const client = await group.connect('a')
+    assert.deepEqual((await client.query("SELECT id FROM payment WHERE id IN ('dropped', 'after')")).rows, [{ id: 'dropped' }])
+  })
+
   it('answers several queries that were sent together in order', async () => {
     const answers = await exchange(Array.from({ length: 50 }, (_, index) => serialize.query(`SELECT ${index} AS n /* session='${index}' */`)), 50)
     assert.deepEqual(answers.filter(({ name }) => name === 'dataRow').map(({ fields }) => Number(fields?.[0])), Array.from({ length: 50 }, (_, index) => index))
