Encode replicated entries once and as arrays, and keep undos only for replaced rows

Cause: each write was encoded for each follower with the names of all fields, and kept an undo object per change although most changes insert rows.

--- a/packages/database/src/ledger/ledger.ts
+++ b/packages/database/src/ledger/ledger.ts
@@ -2,10 +2,11 @@
 import { SqlError } from './sql-error.js'
 import { Table, type Row } from './table.js'
 
-/** What an applied change replaced, so that a truncation can put it back. */
-export type Undo =
-  | { type: 'row', table: string, key: string, previous: Row | undefined }
-  | { type: 'table', name: string }
+/**
+ * What the changes of one entry replaced, in their order, so that a truncation can put it back; null when they only
+ * inserted rows and created tables, which is the frequent case.
+ */
+export type Undo = Array<Row | undefined> | null
 
 /** Committed state of a database: the result of its log. */
 export class Ledger {
@@ -30,31 +31,38 @@
     return table
   }
 
-  /** Applies the changes of the entry at `position` and returns how to undo them, last change first. */
-  apply (changes: readonly Change[], position: number): Undo[] {
-    const undos: Undo[] = []
-    for (const change of changes) undos.push(this.#applyChange(change, position))
-    return undos.reverse()
+  /** Applies the changes of the entry at `position` and returns what they replaced. */
+  apply (changes: readonly Change[], position: number): Undo {
+    let undo: Undo = null
+    for (let index = 0; index < changes.length; index++) {
+      const previous = this.#applyChange(changes[index] as Change, position)
+      if (previous === undefined) continue
+      undo ??= new Array<Row | undefined>(changes.length).fill(undefined)
+      undo[index] = previous
+    }
+    return undo
   }
 
-  revert (undos: readonly Undo[]): void {
-    for (const undo of undos) {
-      if (undo.type === 'table') this.#removeTable(undo.name)
-      else restoreRow(this.findTable(undo.table), undo.key, undo.previous)
+  /** Takes back the changes of one entry, the last first. */
+  revert (changes: readonly Change[], undo: Undo): void {
+    for (let index = changes.length - 1; index >= 0; index--) {
+      const change = changes[index] as Change
+      if (change.type === 'create') this.#removeTable(change.definition.name)
+      else restoreRow(this.findTable(change.table), change.key, undo?.[index])
     }
   }
 
-  #applyChange (change: Change, position: number): Undo {
+  #applyChange (change: Change, position: number): Row | undefined {
     if (change.type === 'create') {
       this.#tables.set(change.definition.name, Table.create(change.definition))
       this.#schemaVersion++
-      return { type: 'table', name: change.definition.name }
+      return undefined
     }
     const table = this.findTable(change.table)
     const previous = table.rows.get(change.key)
     if (change.type === 'delete') table.removeRow(change.key)
     else table.putRow(change.key, { values: change.values, position })
-    return { type: 'row', table: change.table, key: change.key, previous }
+    return previous
   }
 
   #removeTable (name: string): void {
--- a/packages/database/src/member/database-member.ts
+++ b/packages/database/src/member/database-member.ts
@@ -6,6 +6,8 @@
 import { Ledger } from '../ledger/ledger.js'
 import { SqlError } from '../ledger/sql-error.js'
 import { Transaction } from '../ledger/transaction.js'
+import { decodeEntry } from '../replication/decode-entry.js'
+import { encodeEntry } from '../replication/encode-entry.js'
 import type { LogEntry } from '../replication/log-entry.js'
 import { ReplicatedLog } from '../replication/replicated-log.js'
 import type { TermStart } from '../replication/term-start.js'
@@ -148,7 +150,7 @@
   /** Removes what the followed primary's log does not hold. */
   truncate (position: number): void {
     if (position >= this.#log.position) return
-    this.ledger.revert(this.#log.truncate(position))
+    this.#revert(position)
     this.#journal?.append({ type: 'truncate', position })
     this.#notify()
   }
@@ -172,7 +174,7 @@
   }
 
   #append (entry: LogEntry): void {
-    this.#journal?.append({ type: 'entry', entry })
+    this.#journal?.append({ type: 'entry', entry: encodeEntry(entry) })
     this.#apply(entry)
   }
 
@@ -180,6 +182,10 @@
     this.#log.append(entry, this.ledger.apply(entry.changes, this.#log.position + 1))
   }
 
+  #revert (position: number): void {
+    for (const { entry, undo } of this.#log.truncate(position)) this.ledger.revert(entry.changes, undo)
+  }
+
   #changeState (promisedTerm: number, role: 'primary' | 'replica', primary: string | null): void {
     this.#promisedTerm = promisedTerm
     this.#role = role
@@ -189,8 +195,8 @@
   }
 
   #replay (record: JournalRecord): void {
-    if (record.type === 'entry') this.#apply(record.entry)
-    else if (record.type === 'truncate') this.ledger.revert(this.#log.truncate(record.position))
+    if (record.type === 'entry') this.#apply(decodeEntry(record.entry))
+    else if (record.type === 'truncate') this.#revert(record.position)
     else {
       this.#promisedTerm = record.promisedTerm
       this.#role = record.role
--- a/packages/database/src/member/journal.ts
+++ b/packages/database/src/member/journal.ts
@@ -1,8 +1,8 @@
-import type { LogEntry } from '../replication/log-entry.js'
+import type { EncodedEntry } from '../replication/encoded-entry.js'
 
 /** Durable record of a database. The records in order lead to its state. */
 export type JournalRecord =
-  | { type: 'entry', entry: LogEntry }
+  | { type: 'entry', entry: EncodedEntry }
   | { type: 'truncate', position: number }
   | { type: 'state', promisedTerm: number, role: 'primary' | 'replica', primary: string | null }
 
--- a/packages/database/src/replication/follower-task.ts
+++ b/packages/database/src/replication/follower-task.ts
@@ -2,8 +2,9 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { FaultState } from '../faults/fault-state.js'
 import type { DatabaseMember } from '../member/database-member.js'
+import { decodeEntry } from './decode-entry.js'
+import type { EncodedEntry } from './encoded-entry.js'
 import { LagQueue } from './lag-queue.js'
-import type { LogEntry } from './log-entry.js'
 import { ReplicationLink } from './replication-link.js'
 import type { ReplicationMessage } from './replication-message.js'
 
@@ -19,7 +20,7 @@
   term: number
   primary: string
   link: ReplicationLink
-  lag: LagQueue<{ after: number, entries: LogEntry[] }>
+  lag: LagQueue<{ after: number, entries: EncodedEntry[] }>
 }
 
 const RETRY_MS = 50
@@ -109,7 +110,7 @@
     return link
   }
 
-  #createLagQueue (primary: string): LagQueue<{ after: number, entries: LogEntry[] }> {
+  #createLagQueue (primary: string): LagQueue<{ after: number, entries: EncodedEntry[] }> {
     const { member, faults, clock } = this.#options
     return LagQueue.create({
       readTime: () => clock.readTime(),
@@ -128,11 +129,11 @@
     else if (message.type === 'refuse') link.destroy()
   }
 
-  #apply (after: number, entries: LogEntry[]): void {
+  #apply (after: number, entries: EncodedEntry[]): void {
     const { member } = this.#options
     const subscription = this.#subscription
     if (this.#stopped || subscription === undefined || !member.isFollowing(subscription.term, subscription.primary)) return
-    if (member.receiveEntries(after, entries)) subscription.link.send({ type: 'ack', position: member.last.position })
+    if (member.receiveEntries(after, entries.map(decodeEntry))) subscription.link.send({ type: 'ack', position: member.last.position })
     else subscription.link.destroy()
   }
 
--- a/packages/database/src/replication/replicated-log.ts
+++ b/packages/database/src/replication/replicated-log.ts
@@ -6,7 +6,7 @@
 /** Log of one database, with what undoes each entry. */
 export class ReplicatedLog {
   readonly #entries: LogEntry[] = []
-  readonly #undos: Undo[][] = []
+  readonly #undos: Undo[] = []
   readonly #history: TermStart[] = []
 
   static create (): ReplicatedLog {
@@ -22,18 +22,18 @@
   /** Position of the first entry of the log's term. */
   get termStart (): number { return this.#history.at(-1)?.start ?? 0 }
 
-  append (entry: LogEntry, undo: Undo[]): void {
+  append (entry: LogEntry, undo: Undo): void {
     this.#entries.push(entry)
     this.#undos.push(undo)
     if (entry.term !== this.last.term) this.#history.push({ term: entry.term, start: this.position })
   }
 
-  /** Removes the entries after `position` and returns how to undo them, last entry first. */
-  truncate (position: number): Undo[] {
-    const undos = this.#undos.splice(position).reverse().flat()
-    this.#entries.length = Math.min(this.#entries.length, position)
+  /** Removes the entries after `position` and returns them with what undoes them, the last first. */
+  truncate (position: number): Array<{ entry: LogEntry, undo: Undo }> {
+    const undos = this.#undos.splice(position)
+    const removed = this.#entries.splice(position).map((entry, index) => ({ entry, undo: undos[index] as Undo }))
     while ((this.#history.at(-1)?.start ?? 0) > position) this.#history.pop()
-    return undos
+    return removed.reverse()
   }
 
   /** Up to `limit` entries after `position`. */
--- a/packages/database/src/replication/replication-link.ts
+++ b/packages/database/src/replication/replication-link.ts
@@ -53,7 +53,16 @@
   get isHolding (): boolean { return this.#outbound?.isHolding ?? false }
 
   send (message: ReplicationMessage): void {
-    this.#outbound?.push(this.#codec.encode(message))
+    this.sendBytes(this.encode(message))
+  }
+
+  /** Encodes a message that is sent over several links. */
+  encode (message: ReplicationMessage): Buffer {
+    return this.#codec.encode(message)
+  }
+
+  sendBytes (bytes: Buffer): void {
+    this.#outbound?.push(bytes)
   }
 
   destroy (): void {
--- a/packages/database/src/replication/replication-message.ts
+++ b/packages/database/src/replication/replication-message.ts
@@ -1,4 +1,4 @@
-import type { LogEntry } from './log-entry.js'
+import type { EncodedEntry } from './encoded-entry.js'
 import type { TermStart } from './term-start.js'
 
 /**
@@ -12,4 +12,4 @@
   | { type: 'accept', position: number }
   | { type: 'refuse' }
   | { type: 'beat' }
-  | { type: 'entries', after: number, entries: LogEntry[] }
+  | { type: 'entries', after: number, entries: EncodedEntry[] }
--- a/packages/database/src/replication/replication-server.ts
+++ b/packages/database/src/replication/replication-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import type { FaultState } from '../faults/fault-state.js'
 import type { DatabaseMember } from '../member/database-member.js'
+import { encodeEntry } from './encode-entry.js'
 import { findCommonPosition } from './find-common-position.js'
 import { ReplicationLink } from './replication-link.js'
 import type { ReplicationMessage } from './replication-message.js'
@@ -35,6 +36,8 @@
   #server: Server | undefined
   #port: number
   #scheduled = false
+  /** Last encoded batch; followers at the same position get the same bytes. */
+  #batch: { term: number, after: number, count: number, bytes: Buffer } | undefined
 
   private constructor (options: CreateOptions) {
     this.#options = options
@@ -134,12 +137,22 @@
       return
     }
     while (follower.sent < member.last.position && follower.sent - follower.confirmed < WINDOW_ENTRIES) {
-      const entries = member.readEntries(follower.sent, BATCH_ENTRIES)
-      follower.link.send({ type: 'entries', after: follower.sent, entries })
-      follower.sent += entries.length
+      const { bytes, count } = this.#encodeBatch(follower)
+      follower.link.sendBytes(bytes)
+      follower.sent += count
     }
   }
 
+  #encodeBatch ({ link, term, sent }: Follower): { bytes: Buffer, count: number } {
+    const { member } = this.#options
+    const expected = Math.min(BATCH_ENTRIES, member.last.position - sent)
+    const known = this.#batch
+    if (known?.term === term && known.after === sent && known.count === expected) return known
+    const entries = member.readEntries(sent, BATCH_ENTRIES)
+    this.#batch = { term, after: sent, count: entries.length, bytes: link.encode({ type: 'entries', after: sent, entries: entries.map(encodeEntry) }) }
+    return this.#batch
+  }
+
   #sendBeats (): void {
     for (const { link } of this.#followers.values()) {
       if (!link.isHolding) link.send({ type: 'beat' })
