--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -38,6 +38,7 @@
 
 type PeerTls = { ca: Buffer, cert: Buffer, key: Buffer }
 
+const REPORT_INTERVAL_MS = 1000
 const DRAIN_CHECK_MS = 20
 const PROBE_TIMEOUT_MS = 2000
 const RETRY_SETTINGS = { baseDelayMs: 50, maximumDelayMs: 500, budgetRatio: 0.1, maximumBudget: 100 }
@@ -61,8 +62,10 @@
   #peerServer!: PeerServer
   #listener!: CallerListener
   #metricsServer!: MetricsServer
+  #reportedAt = 0
   #sweepTimer: NodeJS.Timeout | undefined
   #isDraining = false
+  #isClosing = false
 
   private constructor ({ settings, clock = SystemClock.create(), logger }: OpenOptions) {
     const { host, dataCentre, region } = settings
@@ -93,19 +96,19 @@
   get metricsPort (): number { return this.#metricsServer.port }
 
   get isReady (): boolean {
-    return !this.#isDraining && this.#configuration.version > 0 && this.#control.computeConfirmedAge() <= this.#settings.configurationMaximumAgeMs
+    return !this.#isDraining && this.#configuration.version > 0 && this.#control.isFresh()
   }
 
   /** Graceful shutdown: no new callers, running requests and transactions finish, unspent tokens go back. */
   async close (): Promise<void> {
+    this.#isClosing = true
     this.#drain()
     const deadline = this.#clock.readTime() + this.#settings.drainTimeoutMs
     while (this.#registry.size > 0 && this.#clock.readTime() < deadline) await delay(DRAIN_CHECK_MS)
     for (const session of [...this.#registry.list()]) session.terminate(TanagerusherError.create('shutting-down'))
-    await this.#rateGate.returnAll()
     clearInterval(this.#sweepTimer)
     this.#listener.close()
-    this.#rateGate.close()
+    await this.#rateGate.close()
     this.#probes.close()
     this.#control.close()
     this.#pools.close()
@@ -126,6 +129,7 @@
       clock: this.#clock,
       logger: this.#logger,
       configuration: this.#configuration,
+      maximumAgeMs: this.#settings.configurationMaximumAgeMs,
       handleConfiguration: () => { this.#handleConfiguration() },
       handleMembers: (members, isLeaving) => { this.#handleMembers(members, isLeaving) }
     })
@@ -168,7 +172,7 @@
       registry: this.#registry,
       metrics: this.#metrics,
       tracing: this.#tracing,
-      computeConfirmedAge: () => this.#control.computeConfirmedAge()
+      findStaleness: () => this.#control.isFresh() ? undefined : TanagerusherError.create('configuration-stale', { details: { ageMs: Math.round(this.#control.computeConfirmedAge()) } })
     }
   }
 
@@ -189,7 +193,8 @@
 
   #handleMembers (members: FleetMember[], isLeaving: boolean): void {
     this.#pools.updateMembers(members)
-    if (isLeaving && !this.#isDraining) this.#drain()
+    if (isLeaving) this.#drain()
+    else if (this.#isDraining && !this.#isClosing) this.#resume()
   }
 
   #drain (): void {
@@ -200,6 +205,13 @@
     for (const session of [...this.#registry.list()]) session.shutDown()
   }
 
+  /** The operator has taken the drain back. */
+  #resume (): void {
+    this.#isDraining = false
+    this.#logger.info('entry accepts callers again')
+    this.#listener.resume()
+  }
+
   async #sendProbe (group: string): Promise<Position> {
     const primary = this.#groups.findPrimary(group)
     const database = this.#configuration.groups.get(group)?.databases.find(({ name }) => name === primary)
@@ -213,6 +225,20 @@
     const now = this.#clock.readTime()
     this.#listener.checkLimits(now)
     for (const session of this.#registry.list()) session.checkLimits(now)
+    if (now - this.#reportedAt >= REPORT_INTERVAL_MS) this.#report(now)
+  }
+
+  /** Tells control how much still runs and who uses the host. */
+  #report (now: number): void {
+    const organisations = this.#metrics.takeRates(now - this.#reportedAt)
+    this.#reportedAt = now
+    this.#control.sendReport({
+      role: 'entry',
+      configurationVersion: this.#configuration.version,
+      remaining: this.#registry.size,
+      figures: { sessions: this.#registry.size, ...this.#metrics.listFigures() },
+      organisations
+    })
   }
 }
 
--- a/packages/entry/src/link/control-link.ts
+++ b/packages/entry/src/link/control-link.ts
@@ -1,10 +1,12 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
+import { KeyFreshness } from '@tanagerusher/coordination/keys/key-freshness'
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import { budgetRequest, type BudgetRequestParams, type BudgetRequestResult } from '@tanagerusher/protocol/peer/budget-request'
 import { budgetReturn } from '@tanagerusher/protocol/peer/budget-return'
 import { configurationUpdateNotification } from '@tanagerusher/protocol/peer/configuration-update'
 import { controlSubscribe, type ControlSubscribeResult } from '@tanagerusher/protocol/peer/control-subscribe'
 import { membershipUpdate, type MembershipUpdateParams } from '@tanagerusher/protocol/peer/membership-update'
+import { statusReport, type StatusReportParams } from '@tanagerusher/protocol/peer/status-report'
 import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
 import type { FleetMember } from '@tanagerusher/state/common/fleet-member'
 import type { ConfigurationUpdate } from '@tanagerusher/state/configuration/configuration-update'
@@ -29,6 +31,8 @@
   clock: Clock
   logger: Logger
   configuration: ConfigurationView
+  /** Age of the last confirmation at which the host stops serving. */
+  maximumAgeMs: number
   handleConfiguration: () => void
   handleMembers: (members: FleetMember[], isLeaving: boolean) => void
 }
@@ -36,6 +40,7 @@
 const SUBSCRIBE_TIMEOUT_MS = 2000
 const RECONNECT_DELAY_MS = 250
 const BUDGET_TIMEOUT_MS = 1000
+const REPORT_TIMEOUT_MS = 2000
 // Another host's control is left for the own one soon after that is back.
 const OWN_CONTROL_CHECK_MS = 5000
 // Control sends membership every second; a connection silent for longer leads nowhere.
@@ -46,7 +51,7 @@
   readonly #options: CreateOptions
   #connection: PeerConnection | undefined
   #isOwn = false
-  #confirmedAt: number | undefined
+  readonly #freshness: KeyFreshness
   #lastMessageAt = 0
   #members: FleetMember[] = []
   #next = 0
@@ -55,6 +60,7 @@
 
   private constructor (options: CreateOptions) {
     this.#options = options
+    this.#freshness = KeyFreshness.create({ limitMs: options.maximumAgeMs })
   }
 
   static create (options: CreateOptions): ControlLink {
@@ -71,7 +77,12 @@
 
   /** Time since the configuration was confirmed by the store or by a majority of hosts; infinite before the first time. */
   computeConfirmedAge (): number {
-    return this.#confirmedAt === undefined ? Number.POSITIVE_INFINITY : this.#options.clock.readTime() - this.#confirmedAt
+    return this.#freshness.readAge(this.#options.clock.readTime())
+  }
+
+  /** Whether withdrawn keys would be known here by now. */
+  isFresh (): boolean {
+    return this.#freshness.isFresh(this.#options.clock.readTime())
   }
 
   start (): void {
@@ -92,6 +103,11 @@
     await this.#getConnection().request(budgetReturn, params, BUDGET_TIMEOUT_MS)
   }
 
+  /** Reports are repeated, so a lost one does no harm. */
+  sendReport (report: StatusReportParams): void {
+    this.#connection?.request(statusReport, report, REPORT_TIMEOUT_MS).catch(() => {})
+  }
+
   #getConnection (): PeerConnection {
     if (this.#connection !== undefined) return this.#connection
     throw TanagerusherError.create('peer-failed', { details: { peer: 'control', reason: 'not connected' } })
@@ -154,11 +170,10 @@
     if (applied === 'gap') connection.close()
   }
 
-  /** A control that has heard nothing for a while must not make a confirmation look older than it is known to be. */
   #handleMembership ({ members, confirmedAgeMs, leaving }: MembershipUpdateParams): void {
     const now = this.#options.clock.readTime()
     this.#lastMessageAt = now
-    this.#confirmedAt = Math.max(this.#confirmedAt ?? Number.NEGATIVE_INFINITY, now - confirmedAgeMs)
+    this.#freshness.recordAge(confirmedAgeMs, now)
     this.#members = members
     this.#options.handleMembers(members, leaving)
   }
--- a/packages/entry/src/listener/caller-listener.ts
+++ b/packages/entry/src/listener/caller-listener.ts
@@ -18,6 +18,7 @@
   /** In the order of their arrival. */
   readonly #pending = new Set<LogInTask>()
   #isShuttingDown = false
+  #port = 0
   #certificateCheckedAt: number
 
   private constructor (options: OpenOptions) {
@@ -32,16 +33,18 @@
 
   static async open (options: OpenOptions): Promise<CallerListener> {
     const listener = new CallerListener(options)
-    const { address, callerPort } = options.services.settings
     await new Promise<void>((resolve, reject) => {
       listener.#server.once('error', reject)
-      listener.#server.listen({ host: address, port: callerPort, backlog: 4096 }, resolve)
+      listener.#listen(options.services.settings.callerPort, resolve)
     })
+    listener.#server.removeAllListeners('error')
+    listener.#server.on('error', (error) => { options.services.logger.error('listener for callers failed', { reason: error.message }) })
+    listener.#port = (listener.#server.address() as AddressInfo).port
     return listener
   }
 
   get port (): number {
-    return (this.#server.address() as AddressInfo).port
+    return this.#port
   }
 
   /** Called every second or so: ends log-ins that take too long and notices a new certificate. */
@@ -62,12 +65,22 @@
     this.#server.close()
   }
 
+  /** Accepts callers again after `stop`. */
+  resume (): void {
+    this.#isShuttingDown = false
+    if (!this.#server.listening) this.#listen(this.#port, () => {})
+  }
+
   close (): void {
     this.stop()
     this.#failureHold.close()
     for (const task of this.#pending) task.destroy()
   }
 
+  #listen (port: number, handleListening: () => void): void {
+    this.#server.listen({ host: this.#options.services.settings.address, port, backlog: 4096 }, handleListening)
+  }
+
   #accept (socket: Socket): void {
     const { services, handleCancel } = this.#options
     if (this.#pending.size >= services.settings.limits.maximumPendingLogIns) this.#dropOldest()
--- a/packages/entry/src/listener/log-in-task.ts
+++ b/packages/entry/src/listener/log-in-task.ts
@@ -225,10 +225,8 @@
   #checkServing (): void {
     const { services } = this.#options
     if (this.#options.isShuttingDown()) throw TanagerusherError.create('shutting-down')
-    const ageMs = services.computeConfirmedAge()
-    if (ageMs > services.settings.configurationMaximumAgeMs) {
-      throw TanagerusherError.create('configuration-stale', { details: { ageMs: Math.round(ageMs) } })
-    }
+    const stale = services.findStaleness()
+    if (stale !== undefined) throw stale
   }
 
   #createFloor (organisation: string): SessionFloor {
--- a/packages/entry/src/metrics/entry-metrics.ts
+++ b/packages/entry/src/metrics/entry-metrics.ts
@@ -22,12 +22,16 @@
 
   // The hot path counts in a field; the registry reads it when it is asked.
   #answered = 0
+  #answeredTotal = 0
+  #failed = 0
+  readonly #answeredByOrganisation = new Map<string, number>()
 
   private constructor () {
     const requests = this.#requests
     const takeAnswered = (): number => {
       const answered = this.#answered
       this.#answered = 0
+      this.#answeredTotal += answered
       return answered
     }
     Object.assign(requests, { collect: () => { requests.inc({ outcome: 'answered' }, takeAnswered()) } })
@@ -45,10 +49,27 @@
     this.#sessions.dec()
   }
 
-  recordRequest (outcome: string, milliseconds: number): void {
+  recordAnswer (organisation: string, milliseconds: number): void {
     this.#latency.record(milliseconds)
-    if (outcome === 'answered') this.#answered++
-    else this.#requests.inc({ outcome })
+    this.#answered++
+    this.#answeredByOrganisation.set(organisation, (this.#answeredByOrganisation.get(organisation) ?? 0) + 1)
+  }
+
+  recordFailure (kind: string): void {
+    this.#failed++
+    this.#requests.inc({ outcome: kind })
+  }
+
+  /** Answered statements per second by organisation since the last call. */
+  takeRates (elapsedMs: number): Record<string, number> {
+    const rates = Object.fromEntries([...this.#answeredByOrganisation].map(([organisation, count]) => [organisation, count * 1000 / Math.max(1, elapsedMs)]))
+    this.#answeredByOrganisation.clear()
+    return rates
+  }
+
+  /** Counts since the start, for the operators' status page. */
+  listFigures (): Record<string, number> {
+    return { answered: this.#answeredTotal + this.#answered, failed: this.#failed }
   }
 
   recordLogIn (result: string): void {
--- a/packages/entry/src/rate/rate-gate.ts
+++ b/packages/entry/src/rate/rate-gate.ts
@@ -1,7 +1,7 @@
+import { GrantHolder, type GrantHolderEffect } from '@tanagerusher/coordination/budget/grant-holder'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import type { BudgetRequestParams, BudgetRequestResult } from '@tanagerusher/protocol/peer/budget-request'
-import { LocalGrants } from './local-grants.js'
 
 interface BudgetSource {
   requestBudget(params: BudgetRequestParams): Promise<BudgetRequestResult>
@@ -15,28 +15,25 @@
 }
 
 interface Waiter {
-  count: number
+  /** Tokens that it still lacks. */
+  missing: number
   deadline: number
   resolve: () => void
   reject: (error: unknown) => void
 }
 
-interface Account {
-  organisation: string
-  grants: LocalGrants
-  waiters: Waiter[]
-  isAsking: boolean
-  timer: NodeJS.Timeout | undefined
-}
-
-// Tokens for a quarter of a second keep requests from waiting for a grant, and leave little unspent at one host.
-const COVER_MS = 250
-const FAILURE_DELAY_MS = 20
+// Interval at which grants are renewed while there is traffic; tokens are held for much longer than this.
+const TICK_MS = 10
+const LONGEST_TICK_MS = 500
 
-/** Admits requests against prepaid tokens, which it asks control for ahead of need. */
+/** Admits requests against prepaid tokens, which it asks control for ahead of need. Owns the waiters and one timer. */
 export class RateGate {
   readonly #options: CreateOptions
-  readonly #accounts = new Map<string, Account>()
+  readonly #holder = GrantHolder.create()
+  readonly #queues = new Map<string, Waiter[]>()
+  #timer: NodeJS.Timeout | undefined
+  #tickAt = Number.POSITIVE_INFINITY
+  #isClosed = false
 
   private constructor (options: CreateOptions) {
     this.#options = options
@@ -46,101 +43,108 @@
     return new RateGate(options)
   }
 
-  /** Takes tokens that are at hand. False: use `wait`. */
-  take (organisation: string, count: number): boolean {
-    const account = this.#getAccount(organisation)
+  /** Takes tokens that are at hand and returns how many are missing; pass these to `wait`. */
+  take (organisation: string, count: number): number {
     const now = this.#options.clock.readTime()
-    account.grants.recordDemand(count, now)
-    const taken = account.waiters.length === 0 && account.grants.take(count, now)
-    this.#askWhenShort(account, now, taken ? 0 : count)
-    return taken
+    let missing = count
+    while (missing > 0 && this.#holder.take(organisation, now)) missing--
+    this.#schedule(TICK_MS, now)
+    return missing
   }
 
   /**
-   * Waits in order for tokens, at most `grantWaitMs`.
+   * Waits in order for tokens, at most `grantWaitMs`. Tokens of a request that gives up are lost, never spent twice.
    * @throws TanagerusherError `rate-exceeded`
    */
-  async wait (organisation: string, count: number): Promise<void> {
-    const account = this.#getAccount(organisation)
+  async wait (organisation: string, missing: number): Promise<void> {
     const now = this.#options.clock.readTime()
     await new Promise<void>((resolve, reject) => {
-      account.waiters.push({ count, deadline: now + this.#options.grantWaitMs, resolve, reject })
-      this.#serve(account)
+      const waiter = { missing, deadline: now + this.#options.grantWaitMs, resolve, reject }
+      const queue = this.#queues.get(organisation)
+      if (queue === undefined) this.#queues.set(organisation, [waiter])
+      else queue.push(waiter)
+      this.#run()
     })
   }
 
   /** Returns unspent tokens, so that other hosts can grant them at once. */
-  async returnAll (): Promise<void> {
-    const now = this.#options.clock.readTime()
-    const returns = [...this.#accounts.values()].flatMap(({ organisation, grants }) =>
-      grants.takeAll(now).map(async (unspent) => { await this.#options.source.returnBudget({ organisation, ...unspent }) }))
-    await Promise.allSettled(returns)
+  async close (): Promise<void> {
+    this.#isClosed = true
+    clearTimeout(this.#timer)
+    for (const queue of this.#queues.values()) {
+      for (const waiter of queue) waiter.reject(TanagerusherError.create('shutting-down'))
+    }
+    this.#queues.clear()
+    await Promise.allSettled(this.#holder.close(this.#options.clock.readTime()).map(async (effect) => { await this.#carryOut(effect) }))
   }
 
-  close (): void {
-    for (const account of this.#accounts.values()) {
-      clearTimeout(account.timer)
-      for (const waiter of account.waiters.splice(0)) waiter.reject(TanagerusherError.create('shutting-down'))
-    }
+  #run (): void {
+    if (this.#isClosed) return
+    const now = this.#options.clock.readTime()
+    for (const [organisation, queue] of this.#queues) this.#serve(organisation, queue, now)
+    for (const effect of this.#holder.listEffects(now)) void this.#carryOut(effect)
+    const next = this.#holder.findNextDeadline()
+    if (next !== undefined || this.#queues.size > 0) this.#schedule(this.#queues.size > 0 ? TICK_MS : Math.min(LONGEST_TICK_MS, (next ?? now) - now), now)
   }
 
-  #getAccount (organisation: string): Account {
-    let account = this.#accounts.get(organisation)
-    if (account === undefined) {
-      account = { organisation, grants: LocalGrants.create({ coverMs: COVER_MS }), waiters: [], isAsking: false, timer: undefined }
-      this.#accounts.set(organisation, account)
+  /** Admits waiters in order and rejects those whose time is over. */
+  #serve (organisation: string, queue: Waiter[], now: number): void {
+    let waiting = 0
+    let served = 0
+    for (const waiter of queue) {
+      if (waiting === 0) this.#fill(organisation, waiter, now)
+      if (waiter.missing === 0) waiter.resolve()
+      else if (waiter.deadline <= now) waiter.reject(this.#createRejection(organisation))
+      else {
+        waiting += waiter.missing
+        continue
+      }
+      served++
     }
-    return account
+    if (served > 0) this.#removeServed(organisation, queue, now)
+    this.#holder.updateWaiting(organisation, waiting, now)
   }
 
-  /** Admits waiters in order, rejects those whose time is over, and asks for more tokens when they are short. */
-  #serve (account: Account): void {
-    const now = this.#options.clock.readTime()
-    const { waiters, grants } = account
-    while (waiters.length > 0) {
-      const waiter = waiters[0] as Waiter
-      if (grants.take(waiter.count, now)) waiter.resolve()
-      else if (waiter.deadline <= now) waiter.reject(this.#createRejection(account, now))
-      else break
-      waiters.shift()
-    }
-    const waiting = waiters.reduce((sum, { count }) => sum + count, 0)
-    this.#askWhenShort(account, now, waiting)
-    this.#scheduleNext(account, now)
+  #fill (organisation: string, waiter: Waiter, now: number): void {
+    while (waiter.missing > 0 && this.#holder.retryTake(organisation, now)) waiter.missing--
   }
 
-  #createRejection ({ organisation, grants }: Account, now: number): TanagerusherError {
-    const retryAfterMs = Math.max(1, Math.ceil(Math.max(grants.retryAt - now, this.#options.grantWaitMs)))
-    return TanagerusherError.create('rate-exceeded', { details: { organisation, retryAfterMs } })
+  #removeServed (organisation: string, queue: Waiter[], now: number): void {
+    const rest = queue.filter(({ missing, deadline }) => missing > 0 && deadline > now)
+    if (rest.length === 0) this.#queues.delete(organisation)
+    else this.#queues.set(organisation, rest)
   }
 
-  #askWhenShort (account: Account, now: number, waiting: number): void {
-    if (account.isAsking) return
-    const wanted = account.grants.computeWanted(waiting, now)
-    if (wanted > 0) void this.#ask(account, wanted, now)
+  #createRejection (organisation: string): TanagerusherError {
+    return TanagerusherError.create('rate-exceeded', { details: { organisation, retryAfterMs: this.#options.grantWaitMs } })
   }
 
-  async #ask (account: Account, wanted: number, sentAt: number): Promise<void> {
-    const { organisation, grants } = account
-    account.isAsking = true
+  async #carryOut (effect: GrantHolderEffect): Promise<void> {
+    const { source, clock } = this.#options
+    const { organisation } = effect
+    if (effect.type === 'return') {
+      await source.returnBudget({ organisation, grantId: effect.grantId, tokens: effect.tokens }).catch(() => {})
+      return
+    }
+    const { requestId, wanted, demandPerSecond, closed } = effect
     try {
-      const result = await this.#options.source.requestBudget({ organisation, wanted, demandPerSecond: grants.demandPerSecond })
-      grants.addGrant(result, sentAt, this.#options.clock.readTime())
+      const answer = await source.requestBudget({ organisation, wanted, demandPerSecond, closed })
+      this.#holder.handleAnswer(organisation, requestId, answer, clock.readTime())
     } catch {
-      grants.delayRequests(this.#options.clock.readTime() + FAILURE_DELAY_MS)
+      this.#holder.handleFailure(organisation, requestId, clock.readTime())
     }
-    account.isAsking = false
-    this.#serve(account)
+    this.#run()
   }
 
-  /** One timer an organisation, and only while somebody waits. */
-  #scheduleNext (account: Account, now: number): void {
-    const first = account.waiters[0]
-    if (first === undefined || account.timer !== undefined) return
-    const next = account.isAsking ? first.deadline : Math.min(first.deadline, Math.max(account.grants.retryAt, now))
-    account.timer = setTimeout(() => {
-      account.timer = undefined
-      this.#serve(account)
-    }, Math.max(1, next - now))
+  /** Keeps one timer, for the earliest time asked for. */
+  #schedule (delayMs: number, now: number): void {
+    const tickAt = now + Math.max(1, delayMs)
+    if (tickAt >= this.#tickAt || this.#isClosed) return
+    clearTimeout(this.#timer)
+    this.#tickAt = tickAt
+    this.#timer = setTimeout(() => {
+      this.#tickAt = Number.POSITIVE_INFINITY
+      this.#run()
+    }, Math.max(1, delayMs))
   }
 }
--- a/packages/entry/src/session/caller-session-task.ts
+++ b/packages/entry/src/session/caller-session-task.ts
@@ -212,14 +212,14 @@
     try {
       const result = await this.#admitAndRoute(batch, startedAt, span === undefined ? batch.comment.traceparent : tracing.formatTraceparent(span))
       this.#status = result.transactionStatus
-      metrics.recordRequest('answered', clock.readTime() - startedAt)
+      metrics.recordAnswer(this.organisation, clock.readTime() - startedAt)
       this.#writeReady([result.frames], this.#status)
       if (findFailed(result, batch)) this.#builder.removeStatements(batch.addedNames)
       span?.end()
     } catch (failure) {
       const error = failure instanceof TanagerusherError ? failure : TanagerusherError.create('internal', { details: { reason: 'unexpected failure' }, cause: failure })
       if (error.kind === 'internal') this.#services.logger.error('request failed', { reason: String(failure), stack: (failure as Error).stack })
-      metrics.recordRequest(error.kind, clock.readTime() - startedAt)
+      metrics.recordFailure(error.kind)
       tracing.endWithError(span, error)
       this.#handleFailure(batch, error)
     } finally {
@@ -241,8 +241,9 @@
     this.#request = request
     // The end of a transaction was paid for at its start: it is never refused for the rate.
     const cost = batch.ends && this.pin !== undefined ? 0 : Math.max(1, batch.count) + (batch.begins && !batch.ends ? 1 : 0)
-    if (cost > 0 && !rateGate.take(this.organisation, cost)) {
-      await request.wait(rateGate.wait(this.organisation, cost))
+    const missing = cost > 0 ? rateGate.take(this.organisation, cost) : 0
+    if (missing > 0) {
+      await request.wait(rateGate.wait(this.organisation, missing))
       this.#checkServing()
     }
     return await router.run(request)
@@ -252,10 +253,8 @@
     if (this.#ending !== undefined && this.pin === undefined) throw this.#ending
     const error = this.#findKeyError()
     if (error !== undefined) throw error
-    const ageMs = this.#services.computeConfirmedAge()
-    if (ageMs > this.#services.settings.configurationMaximumAgeMs) {
-      throw TanagerusherError.create('configuration-stale', { details: { ageMs: Math.round(ageMs) } })
-    }
+    const stale = this.#services.findStaleness()
+    if (stale !== undefined) throw stale
   }
 
   #findKeyError (): TanagerusherError | undefined {
--- a/packages/entry/src/session/session-services.ts
+++ b/packages/entry/src/session/session-services.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import type { Tracing } from '@tanagerusher/runtime/trace/tracing'
 import type { Logger } from 'winston'
 import type { ConfigurationView } from '../link/configuration-view.js'
@@ -24,5 +25,6 @@
   registry: SessionRegistry
   metrics: EntryMetrics
   tracing: Tracing
-  computeConfirmedAge: () => number
+  /** Error of every request while the host may not know of withdrawn keys. */
+  findStaleness: () => TanagerusherError | undefined
 }
