--- a/packages/pool/src/group/group-task.ts
+++ b/packages/pool/src/group/group-task.ts
@@ -12,6 +12,7 @@
 import type { SqlDatabaseGroup } from '../upstream/sql-database-group.js'
 import { CommitWaiters } from './commit-waiters.js'
 import { MemberWatch } from './member-watch.js'
+import { PlannedChange, type PausableDatabase } from './planned-change.js'
 import { ProbeRunner } from './probe-runner.js'
 import { PromotionRunner } from './promotion-runner.js'
 
@@ -26,6 +27,8 @@
   rankDelayMs: number
   /** Requests that run or wait at this pool for a database; 0 for databases that other pools own. */
   readLoad: (database: string) => number
+  /** The task of a database that this pool owns; undefined for the others. */
+  findOwnDatabase: (database: string) => PausableDatabase | undefined
   /** The group's state changed; notifications are sent at most every few milliseconds. */
   handleChange: (task: GroupTask) => void
 }
@@ -38,6 +41,8 @@
 }
 
 const TICK_MS = 25
+/** The monitor counts in hundreds of milliseconds; under load statuses come every fraction of one. */
+const MONITOR_SPACING_MS = 50
 
 /**
  * Watches all members of one group, confirms positions, and promotes when the primary is lost. It owns the control
@@ -51,6 +56,8 @@
   readonly #probes: ProbeRunner
   readonly #watches = new Map<string, MemberWatch>()
   readonly #dataAge = DataAgeTracker.create()
+  readonly #change: PlannedChange
+  readonly #monitored = new Map<string, { status: DatabaseStatus, at: number }>()
   readonly #timer: NodeJS.Timeout
   #group: Group
   #promotion: PromotionRunner | undefined
@@ -71,6 +78,15 @@
     this.#probes = ProbeRunner.create({
       group: options.name, members: () => this.#listNames(), databases, clock, observe: (status) => { this.observe(status) }
     })
+    this.#change = PlannedChange.create({
+      group: options.name,
+      clock,
+      logger: options.logger,
+      findDatabase: options.findOwnDatabase,
+      readStatus: async (database) => await databases.readStatus(database),
+      waitForPosition: async (database, position, timeoutMs) => await this.waitForPosition(database, position, timeoutMs),
+      promote: async (reason) => await new Promise((resolve) => { this.#promote(reason, undefined, resolve) })
+    })
     this.#updateWatches()
     this.#timer = setInterval(() => { this.#tick() }, TICK_MS)
   }
@@ -224,10 +240,20 @@
     this.commits.observe(status, this.#now())
     if (status.role === 'primary' && status.promisedTerm === status.log.term) this.#dataAge.record(status.log, askedAt)
     this.#resolvePositions(status)
-    this.#handleMonitor({ type: 'status', status })
+    this.#tellMonitor(status)
     this.#options.handleChange(this)
   }
 
+  #tellMonitor (status: DatabaseStatus): void {
+    const now = this.#now()
+    const told = this.#monitored.get(status.database)
+    const isSame = told?.status.role === status.role && told.status.promisedTerm === status.promisedTerm &&
+      told.status.log.term === status.log.term && told.status.primary === status.primary
+    if (told !== undefined && isSame && now - told.at < MONITOR_SPACING_MS) return
+    this.#monitored.set(status.database, { status, at: now })
+    this.#handleMonitor({ type: 'status', status })
+  }
+
   #resolvePositions (status: DatabaseStatus): void {
     if (this.#positionWaiters.length === 0) return
     const isReached = ({ database, floor }: PositionWaiter): boolean => database === status.database && isFloorSatisfied(status.log, floor)
@@ -244,26 +270,41 @@
       return
     }
     for (const effect of effects) {
-      if (effect.type === 'start-promotion') this.#promote(effect.reason)
+      if (effect.type === 'start-promotion') this.#promote(effect.reason, effect.suspect)
       else this.#options.databases.follow(effect.database, effect.term, effect.primary).catch(() => {})
     }
   }
 
-  #promote (reason: string): void {
+  #promote (reason: string, avoid: string | undefined, handleEnd: (succeeded: boolean) => void = () => {}): void {
     const { clock, databases, logger, seed } = this.#options
     this.#promotion?.close()
     this.#promotion = PromotionRunner.create({
       group: this.name,
       members: this.#listByPreference(),
+      avoid,
       seed: seed + this.#monitor.highestTerm,
       databases,
       clock,
       logger,
-      handleEnd: (result) => { this.#handleMonitor({ type: 'promotion-ended', ...result }) }
+      handleEnd: (result) => {
+        this.#handleMonitor({ type: 'promotion-ended', ...result })
+        handleEnd(result.succeeded)
+      }
     })
+    this.#handleMonitor({ type: 'promotion-started' })
     this.#promotion.start(this.#monitor.highestTerm, reason)
   }
 
+  #checkLeavingPrimary (): void {
+    const primary = this.findPrimary()?.database
+    const databases = this.#group.databases
+    if (primary === undefined || !databases.some(({ name, leaving }) => name === primary && leaving)) return
+    if (this.#options.findOwnDatabase(primary) === undefined) return
+    const now = this.#now()
+    const successors = databases.filter(({ name, leaving }) => !leaving && this.#watches.get(name)?.isReachable(now, this.#options.suspectAfterMs))
+    this.#change.start(primary, successors.map(({ name }) => name))
+  }
+
   /** Leaving databases last; otherwise the order of the configuration. */
   #listByPreference (): string[] {
     const staying = this.#group.databases.filter(({ leaving }) => !leaving)
@@ -276,6 +317,7 @@
     this.commits.handle({ type: 'tick' }, now)
     this.#probes.handle({ type: 'tick' })
     this.#handleMonitor({ type: 'tick' })
+    this.#checkLeavingPrimary()
     const due = this.#positionWaiters.filter(({ deadline }) => deadline <= now)
     if (due.length > 0) this.#positionWaiters = this.#positionWaiters.filter(({ deadline }) => deadline > now)
     for (const waiter of due) waiter.resolve(false)
