Give each transaction its own identifier at the pools; bound what is read from a blocked caller

A late answer to a timed-out BEGIN could have taken the place of the next transaction's connection. A caller that took no results could make the entry read without bound. Also: empty batches in a failed transaction are answered without an error, sessions follow an entry to another group, and spans cover the wait for tokens and the hop to the pool.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -156,6 +156,7 @@
       probes: this.#probes,
       selector: ReplicaSelector.create(settings),
       retryPolicy: RetryPolicy.create({ ...RETRY_SETTINGS, seed: randomBytes(4).readInt32BE(0) }),
+      tracing: this.#tracing,
       windowBytes: settings.windowBytes,
       answerGraceMs: settings.answerGraceMs
     })
@@ -188,7 +189,7 @@
   #handleConfiguration (): void {
     this.#pools.updateGroups(this.#configuration.groups)
     this.#groups.applyConfiguration(this.#configuration.groups)
-    for (const session of [...this.#registry.list()]) session.checkKey()
+    for (const session of [...this.#registry.list()]) session.applyConfiguration()
   }
 
   #handleMembers (members: FleetMember[], isLeaving: boolean): void {
--- a/packages/entry/src/routing/group-table.ts
+++ b/packages/entry/src/routing/group-table.ts
@@ -47,12 +47,6 @@
     this.#wake(state)
   }
 
-  /** The primary was found unable to serve; it is not used until a pool reports one again. */
-  clearPrimary (group: string, primary: string): void {
-    const state = this.#groups.get(group)
-    if (state?.primary === primary) state.primary = null
-  }
-
   /** Resolves at the next status of the group or after `timeoutMs`. */
   async waitForStatus (group: string, timeoutMs: number): Promise<void> {
     const { waiters } = this.#getState(group)
--- a/packages/entry/src/routing/request-router.ts
+++ b/packages/entry/src/routing/request-router.ts
@@ -6,6 +6,7 @@
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import type { ExecuteParams, ExecuteResult } from '@tanagerusher/protocol/peer/execute'
 import { findErrorState } from '@tanagerusher/protocol/postgres/find-error-state'
+import type { Tracing } from '@tanagerusher/runtime/trace/tracing'
 import type { Database } from '@tanagerusher/state/configuration/database'
 import type { Position } from '@tanagerusher/state/position/position'
 import type { ConfigurationView } from '../link/configuration-view.js'
@@ -25,6 +26,7 @@
   probes: FloorProbes
   selector: ReplicaSelector
   retryPolicy: RetryPolicy
+  tracing: Tracing
   windowBytes: number
   /** Wait for an answer beyond the deadline that the pool enforces. */
   answerGraceMs: number
@@ -113,11 +115,20 @@
     request.link = link
     request.databaseName = params.database
     request.progress = 'sent'
-    const result = await link.execute(params, request, leftMs + this.#options.answerGraceMs)
+    const timeoutMs = leftMs + this.#options.answerGraceMs
+    const result = this.#options.tracing.isEnabled
+      ? await this.#executeInSpan(request, link, params, timeoutMs)
+      : await link.execute(params, request, timeoutMs)
     if (result.chunks !== request.chunks) await this.#waitForChunks(request, link, result.chunks)
     return result
   }
 
+  async #executeInSpan (request: RunningRequest, link: PoolLink, params: ExecuteParams, timeoutMs: number): Promise<ExecuteResult> {
+    const { database, access } = params
+    return await this.#options.tracing.run('entry.execute', request.traceparent, async (traceparent) =>
+      await link.execute(traceparent === undefined ? params : { ...params, traceparent }, request, timeoutMs), { database, access })
+  }
+
   async #waitForChunks (request: RunningRequest, link: PoolLink, chunks: number): Promise<void> {
     link.keepReceiver(request.requestId, request)
     try {
@@ -131,7 +142,7 @@
     const { idempotencyKey } = batch.comment
     return {
       requestId: `${this.#options.incarnation}-${++this.#counter}`,
-      sessionId: session.sessionId,
+      sessionId: session.transactionId,
       organisation: session.organisation,
       weight: this.#options.configuration.organisations.get(session.organisation)?.weight ?? 1,
       entryName: session.entryName,
@@ -224,12 +235,13 @@
       return
     }
     const isPinned = session.pin !== undefined
-    const error = failure instanceof TanagerusherError ? failure : TanagerusherError.create('internal', { details: { reason: String(failure) }, cause: failure })
+    const error = failure instanceof TanagerusherError ? failure : TanagerusherError.create('internal', { details: { reason: String(failure) } })
     const progress = request.progress === 'sent' && error.kind !== 'peer-failed' ? 'rejected' : request.progress
     // A block that began with this request is rolled back when its connection is lost, unless the request also commits.
     const isInTransaction = isPinned || batch.begins
     const outcome = this.#classifier.classify({ progress, kind: error.kind, isInTransaction, commits: batch.commits })
     if (isPinned) this.#dropPin(request)
+    else if (batch.begins && progress === 'sent' && request.link?.isOpen === true) request.link.release(session.transactionId)
     const isRepeatable = entry.repeatable || batch.comment.idempotencyKey !== undefined || request.isAtReplica
     const decision = request.isAborted || request.hasOutput || !RETRYABLE.has(error.kind)
       ? { type: 'fail' as const }
@@ -243,7 +255,7 @@
 
   /** The transaction is over for the caller; what remains of it at the pool is rolled back. */
   #dropPin ({ session }: RunningRequest): void {
-    if (session.pin?.link.isOpen === true) session.pin.link.release(session.sessionId)
+    if (session.pin?.link.isOpen === true) session.pin.link.release(session.transactionId)
     session.pin = undefined
   }
 
@@ -260,10 +272,10 @@
 
 function createFinalError (error: TanagerusherError, outcome: 'not-run' | 'unknown', { entry }: RunningRequest, isPinned: boolean): TanagerusherError {
   const { kind, definition } = error
-  if (outcome === 'unknown') return kind === 'outcome-unknown' ? error : TanagerusherError.create('outcome-unknown', { details: { reason: describeReason(error) }, cause: error })
+  if (outcome === 'unknown') return kind === 'outcome-unknown' ? error : TanagerusherError.create('outcome-unknown', { details: { reason: describeReason(error) } })
   if (definition.outcome === 'not-run') return error
-  if (isPinned) return TanagerusherError.create('transaction-lost', { details: { reason: describeReason(error) }, cause: error })
-  return TanagerusherError.create('unavailable', { details: { group: entry.group, reason: describeReason(error) }, cause: error })
+  if (isPinned) return TanagerusherError.create('transaction-lost', { details: { reason: describeReason(error) } })
+  return TanagerusherError.create('unavailable', { details: { group: entry.group, reason: describeReason(error) } })
 }
 
 /** Addresses of hosts stay out of what callers see. */
--- a/packages/entry/src/routing/running-request.ts
+++ b/packages/entry/src/routing/running-request.ts
@@ -15,7 +15,8 @@
 
 /** What routing must know of the caller's session. */
 export interface RoutedSession {
-  readonly sessionId: string
+  /** Session identifier for the pools. New for each transaction, so that a late answer to one BEGIN cannot be taken for another. */
+  readonly transactionId: string
   readonly organisation: string
   readonly entryName: string
   readonly beganAt: number
--- a/packages/entry/src/session/caller-session-task.ts
+++ b/packages/entry/src/session/caller-session-task.ts
@@ -37,7 +37,7 @@
 
 /** One caller's session after the log-in. Owns the caller's socket and runs its batches one after another. */
 export class CallerSessionTask implements RoutedSession {
-  readonly sessionId: string
+  transactionId: string
   readonly organisation: string
   readonly entryName: string
   readonly beganAt: number
@@ -45,8 +45,9 @@
   readonly processId: number
   readonly secret: number
   pin: Pin | undefined
+  readonly #sessionId: string
   readonly #identity: CallerIdentity
-  readonly #group: string
+  #group: string
   readonly #socket: Socket
   readonly #reader: FrameReader
   readonly #builder: BatchBuilder
@@ -59,6 +60,7 @@
   #ending: TanagerusherError | undefined
   #endingAt = 0
   #tokenRevision = -1
+  #transactions = 0
   #keyRevision = -1
   #lastActiveAt: number
   #blockedAt: number | undefined
@@ -66,7 +68,8 @@
 
   private constructor ({ socket, reader, identity, entryName, group, beganAt, processId, secret, floor, services }: CreateOptions) {
     const { limits } = services.settings
-    this.sessionId = `${services.incarnation}-s${processId}-${secret}`
+    this.#sessionId = `${services.incarnation}-s${processId}-${beganAt}`
+    this.transactionId = this.#sessionId
     this.organisation = identity.organisation
     this.entryName = entryName
     this.beganAt = beganAt
@@ -107,8 +110,10 @@
   }
 
   /** Ends the session when its key is no longer in force, also while it is idle, queued or in a transaction. */
-  checkKey (): void {
-    if (this.#isEnded || this.#ending !== undefined) return
+  applyConfiguration (): void {
+    if (this.#isEnded) return
+    this.#followGroup()
+    if (this.#ending !== undefined) return
     const error = this.#findKeyError()
     if (error !== undefined) this.#endWith(error)
   }
@@ -145,6 +150,16 @@
     this.#pendingTaken.push(handleTaken)
   }
 
+  /** The entry may have been moved to another group. */
+  #followGroup (): void {
+    const { pools, configuration } = this.#services
+    const group = configuration.entries.get(this.entryName)?.group ?? this.#group
+    if (group === this.#group) return
+    pools.removeSession(this.#group)
+    pools.addSession(group)
+    this.#group = group
+  }
+
   #checkIdle (idleMs: number): void {
     const entry = this.#services.configuration.entries.get(this.entryName)
     const limitMs = this.pin === undefined || entry === undefined ? this.#services.settings.limits.idleSessionTimeoutMs : entry.idleTransactionTimeoutMs
@@ -154,34 +169,46 @@
   #receive (bytes: Buffer): void {
     if (this.#isEnded) return
     this.#reader.push(bytes)
-    if (!this.#isBusy) this.#process()
-    else if (this.#reader.bufferedBytes > this.#services.settings.limits.maximumPipelinedBytes) {
+    this.#process()
+    if (this.#isWaiting && !this.#isPaused && this.#reader.bufferedBytes > this.#services.settings.limits.maximumPipelinedBytes) {
       this.#isPaused = true
       this.#socket.pause()
     }
   }
 
+  /** A request runs, or the caller has not taken the last result. */
+  get #isWaiting (): boolean {
+    return this.#isBusy || this.#blockedAt !== undefined
+  }
+
   /** Runs batches until none is complete. Returns while one is under way. */
   #process (): void {
+    while (!this.#isWaiting && !this.#isEnded) {
+      const batch = this.#readBatch()
+      if (batch === undefined) break
+      this.#start(batch)
+    }
+    if (this.#isPaused && !this.#isWaiting && !this.#isEnded) {
+      this.#isPaused = false
+      this.#socket.resume()
+    }
+  }
+
+  #readBatch (): Batch | undefined {
     try {
-      while (!this.#isBusy && !this.#isEnded && this.#blockedAt === undefined) {
-        const frame = this.#reader.read()
-        if (frame === undefined) break
+      for (let frame = this.#reader.read(); frame !== undefined; frame = this.#reader.read()) {
         if (frame.type === frontendTypes.terminate) {
           this.#destroy()
-          return
+          return undefined
         }
         const batch = this.#builder.add(frame)
-        if (batch !== undefined) this.#start(batch)
+        if (batch !== undefined) return batch
       }
     } catch (error) {
       // The place where the next message starts is not known.
-      this.#end(error as TanagerusherError)
-    }
-    if (this.#isPaused && !this.#isBusy && !this.#isEnded) {
-      this.#isPaused = false
-      this.#socket.resume()
+      this.#end(error instanceof TanagerusherError ? error : TanagerusherError.create('internal', { details: { reason: 'message cannot be read' } }))
     }
+    return undefined
   }
 
   #start (batch: Batch): void {
@@ -208,16 +235,16 @@
 
   async #runUpstream (batch: Batch, startedAt: number): Promise<void> {
     const { metrics, tracing, clock } = this.#services
-    const span = tracing.startSpan('entry.request', batch.comment.traceparent)
+    const span = tracing.startSpan('entry.request', batch.comment.traceparent, { organisation: this.organisation, entry: this.entryName })
     try {
-      const result = await this.#admitAndRoute(batch, startedAt, span === undefined ? batch.comment.traceparent : tracing.formatTraceparent(span))
+      const result = await this.#admitAndRoute(batch, startedAt, tracing.chooseTraceparent(span, batch.comment.traceparent))
       this.#status = result.transactionStatus
       metrics.recordAnswer(this.organisation, clock.readTime() - startedAt)
       this.#writeReady([result.frames], this.#status)
       if (findFailed(result, batch)) this.#builder.removeStatements(batch.addedNames)
       span?.end()
     } catch (failure) {
-      const error = failure instanceof TanagerusherError ? failure : TanagerusherError.create('internal', { details: { reason: 'unexpected failure' }, cause: failure })
+      const error = failure instanceof TanagerusherError ? failure : TanagerusherError.create('internal', { details: { reason: 'unexpected failure' } })
       if (error.kind === 'internal') this.#services.logger.error('request failed', { reason: String(failure), stack: (failure as Error).stack })
       metrics.recordFailure(error.kind)
       tracing.endWithError(span, error)
@@ -237,13 +264,14 @@
     const entry = configuration.entries.get(this.entryName)
     if (entry === undefined) throw TanagerusherError.create('entry-unknown', { details: { entry: this.entryName } })
     this.#applyToken(batch)
+    if (batch.begins && this.pin === undefined) this.transactionId = `${this.#sessionId}-${++this.#transactions}`
     const request = RunningRequest.create({ session: this, batch, entry, deadline: startedAt + entry.statementDeadlineMs, traceparent })
     this.#request = request
     // The end of a transaction was paid for at its start: it is never refused for the rate.
     const cost = batch.ends && this.pin !== undefined ? 0 : Math.max(1, batch.count) + (batch.begins && !batch.ends ? 1 : 0)
     const missing = cost > 0 ? rateGate.take(this.organisation, cost) : 0
     if (missing > 0) {
-      await request.wait(rateGate.wait(this.organisation, missing))
+      await this.#services.tracing.run('entry.rate-wait', traceparent, async () => { await request.wait(rateGate.wait(this.organisation, missing)) })
       this.#checkServing()
     }
     return await router.run(request)
@@ -277,18 +305,16 @@
 
   /** Answer to a batch that needs no upstream: empty ones, and the end of a transaction that is already over. */
   #answerLocally (batch: Batch): Buffer | undefined {
-    if (this.#status === 'E' && this.pin === undefined) {
-      if (!batch.ends) return undefined
-      this.#status = 'I'
-      return buildLocalAnswer(batch, 'ROLLBACK')
-    }
-    const isEmpty = batch.type === 'simple' ? batch.count === 0 : batch.messageTypes.every((type) => type === frontendTypes.close)
-    return isEmpty && (batch.type === 'simple' || this.#hasNoPortalClose(batch)) ? buildLocalAnswer(batch, '') : undefined
+    if (this.#isEmpty(batch)) return buildLocalAnswer(batch, '')
+    if (this.#status !== 'E' || this.pin !== undefined || !batch.ends) return undefined
+    this.#status = 'I'
+    return buildLocalAnswer(batch, 'ROLLBACK')
   }
 
-  /** Portals exist upstream only within a transaction. */
-  #hasNoPortalClose (batch: Batch): boolean {
-    return batch.messageTypes.length === 0 || this.pin === undefined
+  /** Statements are closed at the entry alone; portals exist upstream only within a transaction. */
+  #isEmpty ({ type, count, messageTypes }: Batch): boolean {
+    if (type === 'simple') return count === 0
+    return messageTypes.length === 0 || (this.pin === undefined && messageTypes.every((message) => message === frontendTypes.close))
   }
 
   #handleFailure (batch: Batch, error: TanagerusherError): void {
@@ -309,7 +335,7 @@
   }
 
   #abandonTransaction (): void {
-    if (this.pin?.link.isOpen === true) this.pin.link.release(this.sessionId)
+    if (this.pin?.link.isOpen === true) this.pin.link.release(this.transactionId)
     this.pin = undefined
   }
 
@@ -342,7 +368,7 @@
   #handleDrain (): void {
     this.#blockedAt = undefined
     for (const handleTaken of this.#pendingTaken.splice(0)) handleTaken()
-    if (!this.#isBusy) this.#process()
+    this.#process()
   }
 
   /** Ends the session as soon as what was sent upstream is answered. */
--- a/packages/entry/src/session/session-tokens.ts
+++ b/packages/entry/src/session/session-tokens.ts
@@ -1,4 +1,4 @@
-import { createHmac, timingSafeEqual } from 'node:crypto'
+import { createHmac, createSecretKey, timingSafeEqual, type KeyObject } from 'node:crypto'
 import { sessionToken, type SessionTokenPayload } from '@tanagerusher/coordination/session/session-token'
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import { err, ok, type Result } from 'neverthrow'
@@ -8,6 +8,11 @@
   secret: string
 }
 
+interface PreparedKey {
+  id: string
+  key: KeyObject
+}
+
 interface CreateOptions {
   /** The first key signs; all are accepted, so that keys can be exchanged without breaking sessions. */
   keys: readonly TokenKey[]
@@ -15,12 +20,13 @@
 
 /** Signs and checks session tokens: `payload.keyId.mac`, payload and HMAC-SHA256 in base64url. */
 export class SessionTokens {
-  readonly #signingKey: TokenKey
-  readonly #keys: Map<string, TokenKey>
+  readonly #signingKey: PreparedKey
+  readonly #keys: Map<string, PreparedKey>
 
   private constructor ({ keys }: CreateOptions) {
-    this.#signingKey = keys[0] as TokenKey
-    this.#keys = new Map(keys.map((key) => [key.id, key]))
+    const prepared = keys.map(({ id, secret }) => ({ id, key: createSecretKey(secret, 'utf8') }))
+    this.#signingKey = prepared[0] as PreparedKey
+    this.#keys = new Map(prepared.map((key) => [key.id, key]))
   }
 
   static create (options: CreateOptions): SessionTokens {
@@ -46,8 +52,8 @@
   }
 }
 
-function computeMac (key: TokenKey, text: string): Buffer {
-  return createHmac('sha256', key.secret).update(`${key.id}.${text}`).digest()
+function computeMac ({ id, key }: PreparedKey, text: string): Buffer {
+  return createHmac('sha256', key).update(`${id}.${text}`).digest()
 }
 
 function fail (reason: string): Result<never, TanagerusherError> {
--- a/packages/runtime/src/metrics/latency-histogram.ts
+++ b/packages/runtime/src/metrics/latency-histogram.ts
@@ -8,7 +8,7 @@
   registry: Registry
 }
 
-const QUANTILES = [50, 90, 99, 99.9]
+const QUANTILES = [0.5, 0.9, 0.99, 0.999]
 const HIGHEST_US = 600_000_000
 
 /** Latency distribution with a relative error below 1%, exported as quantiles in milliseconds since the start. */
@@ -29,7 +29,7 @@
 
   #export (gauge: Gauge): void {
     for (const quantile of QUANTILES) {
-      gauge.set({ quantile: String(quantile / 100) }, this.#histogram.getValueAtPercentile(quantile) / 1000)
+      gauge.set({ quantile: String(quantile) }, this.#histogram.getValueAtPercentile(quantile * 100) / 1000)
     }
   }
 }
--- a/packages/runtime/src/trace/tracing.ts
+++ b/packages/runtime/src/trace/tracing.ts
@@ -62,6 +62,25 @@
     return `00-${traceId}-${spanId}-01`
   }
 
+  /** Traceparent for the next hop: that of `span`, else the one received. */
+  chooseTraceparent (span: Span | undefined, received: string | undefined): string | undefined {
+    return span === undefined ? received : this.formatTraceparent(span)
+  }
+
+  /** Runs `work` within a span below `traceparent`; without tracing it only runs it. */
+  async run<Value> (name: string, traceparent: string | undefined, work: (traceparent: string | undefined) => Promise<Value>, attributes?: Attributes): Promise<Value> {
+    const span = traceparent === undefined ? undefined : this.startSpan(name, traceparent, attributes)
+    if (span === undefined) return await work(traceparent)
+    try {
+      const value = await work(this.formatTraceparent(span))
+      span.end()
+      return value
+    } catch (error) {
+      this.endWithError(span, error as Error)
+      throw error
+    }
+  }
+
   endWithError (span: Span | undefined, error: Error): void {
     if (span === undefined) return
     span.setStatus({ code: SpanStatusCode.ERROR, message: error.message })
