--- a/packages/control/src/budget/budget-task.ts
+++ b/packages/control/src/budget/budget-task.ts
@@ -3,13 +3,14 @@
 import { BudgetMember, type BudgetEffect } from '@tanagerusher/coordination/budget/budget-member'
 import type { ShareTable } from '@tanagerusher/coordination/budget/share-table'
 import type { ConfigurationReplica } from '@tanagerusher/coordination/configuration/configuration-replica'
-import { budgetDelegate } from '@tanagerusher/protocol/peer/budget-delegate'
+import { budgetDelegate, type BudgetDelegateParams as DelegateParams } from '@tanagerusher/protocol/peer/budget-delegate'
 import { budgetHandOver } from '@tanagerusher/protocol/peer/budget-hand-over'
 import { budgetRelease } from '@tanagerusher/protocol/peer/budget-release'
 import { budgetRequest, type BudgetRequestParams, type BudgetRequestResult } from '@tanagerusher/protocol/peer/budget-request'
 import { budgetReturn } from '@tanagerusher/protocol/peer/budget-return'
 import type { FleetMember } from '@tanagerusher/state/common/fleet-member'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
+import type { z } from 'zod'
 import type { PeerLinks } from '../peer/peer-links.js'
 
 interface CreateOptions {
@@ -29,6 +30,7 @@
   readonly #options: CreateOptions
   readonly #member: BudgetMember
   readonly #organisations = new Set<string>()
+  readonly #renewals = new Map<string, DelegateParams>()
   #timer: NodeJS.Timeout | undefined
 
   private constructor (options: CreateOptions) {
@@ -54,7 +56,7 @@
   prepareConnection (connection: PeerConnection): void {
     connection.addMethod(budgetRequest, async (params) => await this.#handleRequest(connection, params))
     connection.addMethod(budgetReturn, async ({ organisation, grantId, tokens }) => await this.#handleReturn(organisation, grantId, tokens))
-    connection.addMethod(budgetDelegate, async (params) => ({ ...this.#member.delegate(params, this.#readTime()) }))
+    connection.addMethod(budgetDelegate, async (params) => this.delegate(params))
     connection.addMethod(budgetRelease, async (params) => {
       this.#member.release(params)
       return {}
@@ -65,6 +67,23 @@
     })
   }
 
+  /** Renewal of delegations that goes with the next heartbeat to this host; undefined when none is due. */
+  takeRenewal (incarnation: string): DelegateParams | undefined {
+    const params = this.#renewals.get(incarnation)
+    this.#renewals.delete(incarnation)
+    return params
+  }
+
+  /** Answers a renewal that came with a heartbeat. */
+  delegate (params: DelegateParams): z.infer<typeof budgetDelegate.result> {
+    return { ...this.#member.delegate(params, this.#readTime()) }
+  }
+
+  /** Takes the answer to a renewal that left with a heartbeat at `sentAt`. */
+  handleRenewalAnswer (params: DelegateParams, answer: z.infer<typeof budgetDelegate.result>, sentAt: number): void {
+    this.#member.handleDelegateAnswer(params.partitions, answer, sentAt, this.#readTime())
+  }
+
   /** Takes rates and bursts from the configuration. */
   updateConfiguration (replica: ConfigurationReplica): void {
     const now = this.#readTime()
@@ -96,7 +115,8 @@
   }
 
   async #send (effect: BudgetEffect): Promise<void> {
-    if (effect.type === 'delegate') await this.#askForShare(effect)
+    if (effect.type === 'delegate' && effect.isRenewal && effect.to !== this.#options.view.self.incarnation) this.#renewals.set(effect.to, { ...effect.params })
+    else if (effect.type === 'delegate') await this.#askForShare(effect)
     else if (effect.type === 'hand-over') await this.#handOver(effect)
     else if (effect.to === this.#options.view.self.incarnation) this.#member.release(effect.params)
     else await (await this.#connect(this.#findByIncarnation(effect.to)))?.request(budgetRelease, { ...effect.params }, REQUEST_TIMEOUT_MS)
--- a/packages/control/src/membership/heartbeat-task.ts
+++ b/packages/control/src/membership/heartbeat-task.ts
@@ -4,6 +4,7 @@
 import { membershipHeartbeat, type MembershipHeartbeatParams, type MembershipHeartbeatResult } from '@tanagerusher/protocol/peer/membership-heartbeat'
 import type { FleetMember } from '@tanagerusher/state/common/fleet-member'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
+import type { BudgetTask } from '../budget/budget-task.js'
 import type { PeerAddress, PeerLinks } from '../peer/peer-links.js'
 import { createShareRow } from './create-share-row.js'
 
@@ -14,6 +15,7 @@
   shareTable: ShareTable
   /** Addresses from the settings, to find the fleet. */
   seeds: readonly PeerAddress[]
+  budgets: Pick<BudgetTask, 'takeRenewal' | 'delegate' | 'handleRenewalAnswer'>
   describeSelf: () => Pick<MembershipHeartbeatResult, 'digest' | 'storeAgeMs'>
   handleAnswer: (answer: MembershipHeartbeatResult, sentAt: number) => void
   /** Called after each round. */
@@ -67,12 +69,16 @@
     connection.addMethod(membershipHeartbeat, async (params) => this.#answer(params))
   }
 
-  #answer ({ wantMembers, member, shareTableVersion }: MembershipHeartbeatParams): MembershipHeartbeatResult {
+  #answer ({ wantMembers, member, shareTableVersion, delegate }: MembershipHeartbeatParams): MembershipHeartbeatResult {
     const { clock, view, shareTable } = this.#options
     const now = clock.readTime()
     if (view.recordHeartbeat(member, now)) this.#options.handleChange()
     shareTable.recordTableVersion(createShareRow(member), shareTableVersion, now)
-    return { ...this.#describe(), ...(wantMembers ? { members: view.listMembers(now).slice(1) } : {}) }
+    return {
+      ...this.#describe(),
+      ...(delegate === undefined ? {} : { delegated: this.#options.budgets.delegate(delegate) }),
+      ...(wantMembers ? { members: view.listMembers(now).slice(1) } : {})
+    }
   }
 
   #runRound (): void {
@@ -91,11 +97,15 @@
   }
 
   async #send (address: PeerAddress, member: FleetMember | undefined, wantMembers: boolean): Promise<void> {
-    const { clock, links } = this.#options
+    const { clock, links, budgets } = this.#options
     try {
       const connection = await links.connect(address)
       const sentAt = clock.readTime()
-      this.#handleAnswer(await connection.request(membershipHeartbeat, { ...this.#describe(), wantMembers }, TIMEOUT_MS), sentAt)
+      const delegate = member === undefined ? undefined : budgets.takeRenewal(member.incarnation)
+      const params = { ...this.#describe(), ...(wantMembers ? { wantMembers } : {}), ...(delegate === undefined ? {} : { delegate }) }
+      const answer = await connection.request(membershipHeartbeat, params, TIMEOUT_MS)
+      this.#handleAnswer(answer, sentAt)
+      if (delegate !== undefined && answer.delegated !== undefined) budgets.handleRenewalAnswer(delegate, answer.delegated, sentAt)
     } catch (error) {
       const reason = String((error as { details?: { reason?: unknown } }).details?.reason ?? '')
       if (member !== undefined && reason.includes('ECONNREFUSED')) this.#recordRefusal(member.incarnation)
--- a/packages/control/src/process/control-process.ts
+++ b/packages/control/src/process/control-process.ts
@@ -81,6 +81,7 @@
       view: this.#view,
       shareTable: this.#shareTable,
       seeds: settings.peers,
+      budgets: this.#budgets,
       describeSelf: () => ({ digest: this.#configuration.replica.digest, storeAgeMs: this.#configuration.readStoreAge(clock.readTime()) }),
       handleAnswer: (answer, sentAt) => { this.#configuration.handleHeartbeatAnswer(answer, sentAt) },
       handleRound: () => { this.#handleRound() },
--- a/packages/coordination/src/budget/budget-member.ts
+++ b/packages/coordination/src/budget/budget-member.ts
@@ -16,7 +16,8 @@
 
 /** Messages to other hosts' controls. Answers to `delegate` and `hand-over` come back as calls. */
 export type BudgetEffect =
-  | { type: 'delegate', to: string, params: DelegateParams }
+  /** A renewal may wait for the next heartbeat to the host. */
+  | { type: 'delegate', to: string, params: DelegateParams, isRenewal: boolean }
   | { type: 'hand-over', handOverId: number, toHost: string, outstanding: OutstandingTokens[] }
   | { type: 'release', to: string, params: ReleaseParams }
 
@@ -28,7 +29,7 @@
   grantValidMs?: number
 }
 
-const RENEW_EVERY_MS = 1000
+const RENEW_EVERY_MS = 500
 const CLOCK_MARGIN = 0.05
 
 /**
@@ -92,11 +93,16 @@
   tick (now: number): BudgetEffect[] {
     const effects = [...this.#handOvers].flatMap(([id, handOver]) => handOver.waitUntil <= now ? this.#endHandOver(id, undefined) : [])
     const isDue = now - this.#renewedAt >= RENEW_EVERY_MS
+    const isRenewal = isDue && this.#renewedAt !== -Infinity
     if (isDue) this.#renewedAt = now
     const rows = this.#shareTable.value?.hosts ?? []
     for (const { incarnation } of rows) {
-      const partitions = isDue ? this.#own : this.#own.filter((partition) => this.#missing.get(incarnation)?.has(partition))
-      if (partitions.length > 0) effects.push({ type: 'delegate', to: incarnation, params: { home: this.#self.incarnation, sequence: ++this.#sequence, partitions: [...partitions] } })
+      const missing = this.#own.filter((partition) => this.#missing.get(incarnation)?.has(partition))
+      const partitions = isDue ? this.#own : missing
+      const params = { home: this.#self.incarnation, sequence: this.#sequence + 1, partitions: [...partitions] }
+      if (partitions.length === 0) continue
+      this.#sequence++
+      effects.push({ type: 'delegate', to: incarnation, params, isRenewal: isRenewal && missing.length === 0 })
     }
     for (const incarnation of this.#missing.keys()) if (!rows.some((row) => row.incarnation === incarnation)) this.#missing.delete(incarnation)
     return effects
--- a/packages/protocol/src/peer/membership-heartbeat.ts
+++ b/packages/protocol/src/peer/membership-heartbeat.ts
@@ -1,5 +1,6 @@
 import { fleetMemberSchema } from '@tanagerusher/state/common/fleet-member'
 import { z } from 'zod'
+import { budgetDelegate } from './budget-delegate.js'
 
 const contentSchema = z.looseObject({
   member: fleetMemberSchema,
@@ -16,9 +17,14 @@
   method: 'membership.heartbeat',
   params: contentSchema.extend({
     /** Asks for the other hosts that the peer knows. */
-    wantMembers: z.boolean().default(false)
+    wantMembers: z.boolean().default(false),
+    /** Renewal of delegations: one message for both saves a third of the messages between controls. */
+    delegate: budgetDelegate.params.optional()
   }),
-  result: contentSchema.extend({ members: z.array(fleetMemberSchema).optional() })
+  result: contentSchema.extend({
+    members: z.array(fleetMemberSchema).optional(),
+    delegated: budgetDelegate.result.optional()
+  })
 } as const
 
 export type MembershipHeartbeatParams = z.infer<typeof membershipHeartbeat.params>
