Add tanagerusherctl

Cause: operators need get, apply, diff, keys, drain, promote, status, top, explain and completion without HTTP calls.

--- /dev/null
+++ b/packages/cli/src/client/read-text.ts
@@ -0,0 +1,13 @@
+import { readFileSync } from 'node:fs'
+import { CommandFailure } from './command-failure.js'
+
+const STANDARD_INPUT = 0
+
+/** Content of a file, or of standard input for `-`. */
+export function readText (file: string): string {
+  try {
+    return readFileSync(file === '-' ? STANDARD_INPUT : file, 'utf8')
+  } catch (cause) {
+    throw new CommandFailure('usage', `File ${file} cannot be read: ${String((cause as Error).message)}.`, 'Check the name of the file, or use - for standard input.')
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/add-key-commands.ts
@@ -0,0 +1,57 @@
+import { writeFileSync } from 'node:fs'
+import type { Command } from 'commander'
+import { readText } from '../client/read-text.js'
+import { printResult } from '../output/print-result.js'
+import type { CommandContext, OpenContext } from './command-context.js'
+
+interface IssueOptions { name?: string, keyFile?: string, outputFile?: string, overlapSeconds?: string, dryRun: boolean }
+
+interface IssuedKey { key?: string, name: string, version: number }
+
+const OWNER_ONLY = 0o600
+
+/** `key issue`, `reissue`, `rotate` and `withdraw`. A key is never an argument: arguments are visible to other users. */
+export function addKeyCommands (program: Command, open: OpenContext): void {
+  const key = program.command('key').description("issue, rotate and withdraw callers' keys")
+  addIssueOptions(key.command('issue <organisation>').description('issue a key; it is written once, to standard output or a file'))
+    .option('--name <name>', 'name of the key')
+    .action(async (organisation: string, options: IssueOptions) => {
+      await runIssue(open(), '/v1/keys', { organisation, name: options.name, key: readKey(options) }, options)
+    })
+  addIssueOptions(key.command('reissue <name>').description('issue a withdrawn key again, in a new generation'))
+    .action(async (name: string, options: IssueOptions) => {
+      await runIssue(open(), `/v1/keys/${encodeURIComponent(name)}/issue`, { key: readKey(options) }, options)
+    })
+  addIssueOptions(key.command('rotate <organisation>').description('issue a new key; the former ones work until the overlap ends'))
+    .option('--overlap-seconds <seconds>', 'time for which the former keys still work', '86400')
+    .action(async (organisation: string, options: IssueOptions) => {
+      await runIssue(open(), `/v1/organisations/${encodeURIComponent(organisation)}/rotate-key`, { key: readKey(options), overlapSeconds: Number(options.overlapSeconds) }, options)
+    })
+  key.command('withdraw <name>').description('withdraw a key')
+    .option('--dry-run', 'check, change nothing', false)
+    .action(async (name: string, { dryRun }: { dryRun: boolean }) => {
+      const { client, output } = open()
+      const result = await client.call<Record<string, unknown>>({ method: 'POST', path: `/v1/keys/${encodeURIComponent(name)}/withdraw`, query: { dryRun: dryRun ? 'true' : undefined } })
+      printResult(output, result, [result])
+    })
+}
+
+function addIssueOptions (command: Command): Command {
+  return command
+    .option('--key-file <file>', 'take the key from this file, - for standard input; a random one is made otherwise')
+    .option('--output-file <file>', 'write the key to this file, readable by its owner only')
+    .option('--dry-run', 'check, change nothing', false)
+}
+
+function readKey ({ keyFile }: IssueOptions): string | undefined {
+  return keyFile === undefined ? undefined : readText(keyFile).trim()
+}
+
+/** The key alone goes to standard output, so that it can be piped; everything else goes to standard error. */
+async function runIssue ({ client, output }: CommandContext, path: string, body: Record<string, unknown>, { outputFile, dryRun }: IssueOptions): Promise<void> {
+  const { key, ...described } = await client.call<IssuedKey>({ method: 'POST', path, body, query: { dryRun: dryRun ? 'true' : undefined } })
+  console.error(output === 'json' ? JSON.stringify(described) : `key ${described.name}, version ${described.version}${dryRun ? ' (dry run)' : ''}`)
+  if (key === undefined) return
+  if (outputFile === undefined) console.log(key)
+  else writeFileSync(outputFile, `${key}\n`, { mode: OWNER_ONLY, flag: 'wx' })
+}
--- /dev/null
+++ b/packages/cli/src/create-program.ts
@@ -0,0 +1,34 @@
+import { Command, Option } from 'commander'
+import { ApiClient } from './client/api-client.js'
+import { readText } from './client/read-text.js'
+import { addFleetCommands } from './commands/add-fleet-commands.js'
+import { addHelpCommands } from './commands/add-help-commands.js'
+import { addKeyCommands } from './commands/add-key-commands.js'
+import { addObjectCommands } from './commands/add-object-commands.js'
+import { addOperatorCommands } from './commands/add-operator-commands.js'
+
+interface Flags { server: string, credentialFile?: string, output: string }
+
+const VERSION = '0.1.0'
+
+/** Commands of `tanagerusherctl`. */
+export function createProgram (setExitCode: (code: number) => void): Command {
+  const program = new Command('tanagerusherctl')
+    .description("Operators' command line of Tanagerusher")
+    .version(VERSION)
+    .addOption(new Option('--server <url>', 'administration API of any host').env('TANAGERUSHER_SERVER').default('http://127.0.0.1:7180'))
+    .addOption(new Option('--credential-file <file>', 'file with name:credential of the operator').env('TANAGERUSHER_CREDENTIAL_FILE'))
+    .addOption(new Option('--output <format>', 'output format').choices(['table', 'json']).default('table'))
+    .exitOverride()
+  const open = () => {
+    const { server, credentialFile, output } = program.opts<Flags>()
+    const credential = credentialFile === undefined ? undefined : readText(credentialFile).trim()
+    return { client: ApiClient.create({ server, credential }), output, setExitCode }
+  }
+  addObjectCommands(program, open)
+  addKeyCommands(program, open)
+  addFleetCommands(program, open)
+  addOperatorCommands(program, open)
+  addHelpCommands(program)
+  return program
+}
--- /dev/null
+++ b/packages/cli/src/resources/find-resource.ts
@@ -0,0 +1,15 @@
+import { CommandFailure } from '../client/command-failure.js'
+import { resources, type Resource } from './resource.js'
+
+const PLURALS: Record<string, string> = { organisations: 'organisation', groups: 'group', entries: 'entry' }
+
+/**
+ * Resource by its singular or plural name.
+ * @throws CommandFailure of kind `usage` when there is none.
+ */
+export function findResource (name: string): Resource & { kind: string } {
+  const kind = PLURALS[name] ?? name
+  const resource = resources[kind]
+  if (resource === undefined) throw new CommandFailure('usage', `There is no kind ${name}.`, `Use one of ${Object.keys(resources).join(', ')}.`)
+  return { ...resource, kind }
+}
--- /dev/null
+++ b/packages/cli/src/resources/list-differences.ts
@@ -0,0 +1,12 @@
+export interface Difference { path: string, from: unknown, to: unknown }
+
+/** Fields in which two values differ, by path. A field that only one has is `undefined` in the other. */
+export function listDifferences (from: unknown, to: unknown, path = ''): Difference[] {
+  if (!isObject(from) || !isObject(to)) return JSON.stringify(from) === JSON.stringify(to) ? [] : [{ path, from, to }]
+  const names = [...new Set([...Object.keys(from), ...Object.keys(to)])].sort()
+  return names.flatMap((name) => listDifferences(from[name], to[name], path === '' ? name : `${path}.${name}`))
+}
+
+function isObject (value: unknown): value is Record<string, unknown> {
+  return value !== null && typeof value === 'object'
+}
--- a/packages/state/src/configuration/group.ts
+++ b/packages/state/src/configuration/group.ts
@@ -16,7 +16,8 @@
   databases: z.array(databaseSchema).min(1),
   databaseName: z.string().default('ledger').describe('Name of the database at the upstream'),
   user: z.string().default('proxy').describe("The proxy's own credential; never a caller's key"),
-  password: z.string().default('proxy')
+  password: z.string().default('proxy'),
+  wantedPrimary: z.string().optional().describe('Planned primary: the owner promotes this member as soon as it has caught up')
 })
 
 export type Group = z.infer<typeof groupSchema>
