--- a/packages/load/src/fleet/fleet-planner.ts
+++ b/packages/load/src/fleet/fleet-planner.ts
@@ -89,7 +89,7 @@
     processes: [
       { name: `${name}-control`, program: 'control', settings: { ...host, port: control, storeUrl, peers: ownFirst.slice(1), administration: { port: administration, rootCredentialFile } } },
       { name: `${name}-pool`, program: 'pool', settings: { ...host, port: pool, control: ownFirst } },
-      { name: `${name}-entry`, program: 'entry', settings: { ...host, callerPort: caller, peerPort: peer, metricsPort: metrics, controls: ownFirst, sessionKeys: [{ id: 'k1', secret }] } }
+      { name: `${name}-entry`, program: 'entry', settings: { ...host, callerPort: caller, peerPort: peer, metricsPort: metrics, control: ownFirst, sessionKeys: [{ id: 'k1', secret }] } }
     ]
   }
 }
