End writes that wait for a database that lost its role

Cause: after the primary was cut off and another promoted, writes queued at or sent to the old one held out until their deadline of 10 s, and the sessions with them. Conclusion: the pool refuses waiting writes as not run and ends sent ones as outcome unknown as soon as its view of the group names another primary.

--- a/packages/pool/src/database/database-task.ts
+++ b/packages/pool/src/database/database-task.ts
@@ -434,6 +434,7 @@
       this.#requests.get(id)?.stopWaiting?.(this.#createError('overloaded', 'deadline passed in the queue'))
     }
     for (const request of this.#requests.values()) if (request.deadline <= now) this.#handleTimeout(request, now)
+    if (this.#isReplaced()) this.#endReplacedWrites()
     for (const connection of [...this.#pinned.values()]) {
       if (connection.idleDeadline !== undefined && connection.idleDeadline <= now) this.#destroy(connection)
     }
@@ -441,6 +442,24 @@
     if (this.#scheduler.waiting > 0) this.#dispatch()
   }
 
+  /** Another database is the primary now. One that is cut off does not say so itself, so the group's view decides. */
+  #isReplaced (): boolean {
+    const primary = this.#options.group.findPrimary()
+    return primary !== undefined && primary.database !== this.name
+  }
+
+  /**
+   * Ends writes that wait for or run at a database that lost its role, so that entries turn to the new primary at once.
+   * Without this they hold out until their deadline, because a database that is cut off never answers.
+   */
+  #endReplacedWrites (): void {
+    for (const [requestId, request] of this.#requests) {
+      if (request.params.access !== 'write') continue
+      if (this.#scheduler.remove(requestId)) request.stopWaiting?.(this.#createError('unavailable', 'the database is not the primary any more'))
+      else if (this.#pending.findPhase(requestId) === 'sent' && request.connection !== undefined) this.#destroy(request.connection)
+    }
+  }
+
   #handleTimeout (request: ActiveRequest, now: number): void {
     const { requestId } = request.params
     if (this.#pending.findPhase(requestId) !== 'sent' || request.connection === undefined) return
