--- a/packages/load/src/fleet/fleet.ts
+++ b/packages/load/src/fleet/fleet.ts
@@ -4,6 +4,7 @@
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import pg from 'pg'
 import type { EntryAddress } from '../generator/roaming-session.js'
+import type { SessionIdentity } from '../generator/session-identity.js'
 import { callJson } from './call-json.js'
 import { findFreePorts } from './find-free-ports.js'
 import type { FleetOptions } from './fleet-options.js'
@@ -28,6 +29,8 @@
   readonly options: FleetOptions
   readonly #supervisor: ProcessSupervisor
   readonly #faults = new Map<string, GroupFaults>()
+  #isStarted = false
+  readonly #generations = new Map<string, number>()
 
   private constructor (options: FleetOptions, plan: FleetPlan, supervisor: ProcessSupervisor) {
     this.options = options
@@ -117,6 +120,31 @@
     return (await this.readStatuses(group)).find(({ database }) => database !== primary)?.database as string
   }
 
+  /** Database that a trace names: itself, `primary:GROUP` or `replica:GROUP`. */
+  async resolveDatabase (target: string): Promise<string> {
+    const [role, group] = target.split(':')
+    if (group === undefined) return target
+    return role === 'primary' ? await this.findPrimary(group) : await this.findReplica(group)
+  }
+
+  /** Records a key that was issued again; sessions built from now on use it. */
+  setKey (organisation: string, password: string, generation: number): void {
+    this.plan.passwords[organisation] = password
+    this.#generations.set(organisation, generation)
+  }
+
+  /** Identity of an organisation's current key in histories. */
+  readKeyName (organisation: string): string {
+    return `${organisation}#${this.#generations.get(organisation) ?? 1}`
+  }
+
+  /** Identity with which a session of an organisation and class logs in now; the caller names the session. */
+  buildIdentity (organisation: string, className: string): Omit<SessionIdentity, 'session'> {
+    const index = this.options.workload.organisations.findIndex(({ name }) => name === organisation)
+    const group = this.plan.groups[index % this.plan.groups.length]?.name ?? ''
+    return { organisation, keyName: this.readKeyName(organisation), password: this.plan.passwords[organisation] ?? '', entry: `${organisation}-${className}`, group }
+  }
+
   /** Calls the administration API of the first host that answers. */
   async administer (method: 'GET' | 'PUT' | 'POST' | 'DELETE', path: string, body?: unknown, headers: Record<string, string> = {}): Promise<AnswerStatus> {
     const authorization = `Basic ${Buffer.from(`root:${ROOT_CREDENTIAL}`).toString('base64')}`
@@ -150,6 +178,7 @@
     for (const group of this.plan.groups) this.#start(group)
     for (const { processes } of this.plan.hosts) for (const process of processes) this.#start(process)
     await Promise.all(this.plan.hosts.map(({ entryPort }) => this.#waitForEntry(entryPort)))
+    this.#isStarted = true
   }
 
   #start ({ name, program, settings }: PlannedProcess): void {
@@ -161,7 +190,8 @@
     for (const { name: organisation } of this.options.workload.organisations.slice(0, this.options.groups)) {
       const entry = `${organisation}-${this.options.workload.classes[0]?.name}`
       for (let failure = await this.#tryEntry(port, organisation, entry); failure !== undefined; failure = await this.#tryEntry(port, organisation, entry)) {
-        if (performance.now() > deadline) throw new Error(`entry on port ${port} did not become ready: ${failure}\n${this.#describeLogs()}`)
+        const ended = this.#isStarted ? [] : this.#listNames().filter((name) => !this.#supervisor.isRunning(name))
+        if (performance.now() > deadline || ended.length > 0) throw new Error(`entry on port ${port} did not become ready: ${failure}\n${this.#describeLogs()}`)
         await new Promise((resolve) => { setTimeout(resolve, READY_INTERVAL_MS) })
       }
     }
@@ -185,8 +215,11 @@
   }
 
   #describeLogs (): string {
-    const names = [this.plan.store, ...this.plan.groups, ...this.plan.hosts.flatMap(({ processes }) => processes)].map(({ name }) => name)
-    return names.map((name) => `--- ${name}${this.#supervisor.isRunning(name) ? '' : ' (ended)'}\n${this.#supervisor.readLog(name).slice(-600)}`).join('\n')
+    return this.#listNames().map((name) => `--- ${name}${this.#supervisor.isRunning(name) ? '' : ' (ended)'}\n${this.#supervisor.readLog(name).slice(-600)}`).join('\n')
+  }
+
+  #listNames (): string[] {
+    return [this.plan.store, ...this.plan.groups, ...this.plan.hosts.flatMap(({ processes }) => processes)].map(({ name }) => name)
   }
 
   #listProcesses (name: string): string[] {
--- a/packages/load/src/generator/build-callers.ts
+++ b/packages/load/src/generator/build-callers.ts
@@ -22,12 +22,10 @@
 /** Builds the callers of one organisation and class. Together they send `perSecond` pieces of work a second. */
 export function buildCallers ({ fleet, clock, seed, label, organisation, callerClass, sessions, perSecond, host }: BuildCallersOptions): Caller[] {
   const entries: readonly EntryAddress[] = host === undefined ? fleet.entries : fleet.entries.filter((entry) => entry.host === host)
-  const index = fleet.options.workload.organisations.findIndex(({ name }) => name === organisation)
-  const group = fleet.plan.groups[index % fleet.plan.groups.length]?.name ?? ''
   return Array.from({ length: sessions }, (_, number) => {
     const session = `${label}-${organisation}-${callerClass.name}-${number}`
     const random = SeededRandom.create(`${seed}/${session}`)
-    const identity = { session, organisation, keyName: `${organisation}#1`, password: fleet.plan.passwords[organisation] ?? '', entry: `${organisation}-${callerClass.name}`, group }
+    const identity = { ...fleet.buildIdentity(organisation, callerClass.name), session }
     return {
       callerClass,
       random: random.createChild('work'),
--- a/packages/load/src/replay/trace-line.ts
+++ b/packages/load/src/replay/trace-line.ts
@@ -20,6 +20,7 @@
   session: z.string().min(1),
   organisation: z.string(),
   class: z.string(),
+  entry: z.string().optional().describe('Catalogue entry; absent means the one of the organisation and class'),
   host: z.string().optional(),
   token: z.boolean().default(true).describe('Whether the session presents its token when it moves to another host'),
   sql: z.string().min(1),
@@ -65,7 +66,7 @@
 const expectSchema = z.strictObject({
   type: z.literal('expect'),
   measure: z.enum([
-    'violations', 'run', 'answered-share', 'failover-gap', 'false-rejections', 'replica-share', 'worst-served', 'withdrawal', 'interrupted'
+    'violations', 'run', 'answered-share', 'failover-gap', 'false-rejections', 'refused', 'replica-share', 'worst-served', 'withdrawal', 'interrupted'
   ]),
   group: z.string().optional(),
   organisation: z.string().optional(),
