End reads at a database that fell silent

Cause: reads that wait for or run at a replica which is cut off or paused held out until their deadline. After: unavailable, not run, after about twice the limit of suspicion; the entry goes elsewhere.

--- a/packages/pool/src/database/database-task.ts
+++ b/packages/pool/src/database/database-task.ts
@@ -240,6 +240,7 @@
   /** The pool reads the replica's position itself; what the entry knows may be old. */
   async #checkFreshness ({ floor, maximumAgeMs }: ExecuteParams): Promise<void> {
     const { group, catchUpWaitMs } = this.#options
+    if (group.isSilent(this.name)) throw this.#createError('unavailable', 'the database is silent')
     const wanted = floor ?? { term: 0, position: 0 }
     if (!await group.waitForPosition(this.name, wanted, catchUpWaitMs)) throw this.#createError('unavailable', 'the database is behind the floor')
     if (floor !== null || maximumAgeMs === undefined) return
@@ -476,7 +477,7 @@
       this.#requests.get(id)?.stopWaiting?.(this.#createError('overloaded', 'deadline passed in the queue'))
     }
     for (const request of this.#requests.values()) if (request.deadline <= now) this.#handleTimeout(request, now)
-    if (this.#isReplaced()) this.#endReplacedWrites()
+    this.#endHopeless(this.#isReplaced(), group.isSilent(this.name))
     for (const connection of [...this.#pinned.values()]) {
       if (connection.idleDeadline !== undefined && connection.idleDeadline <= now) this.#destroy(connection)
     }
@@ -491,13 +492,17 @@
   }
 
   /**
-   * Ends writes that wait for or run at a database that lost its role, so that entries turn to the new primary at once.
-   * Without this they hold out until their deadline, because a database that is cut off never answers.
+   * Ends writes that wait for or run at a database that lost its role, and reads at one that is silent, so that entries
+   * turn to another database at once. Without this they hold out until their deadline, because a database that is cut off
+   * never answers. A write at a silent primary stays until it is known whether another one was promoted.
    */
-  #endReplacedWrites (): void {
+  #endHopeless (isReplaced: boolean, isSilent: boolean): void {
+    if (!isReplaced && !isSilent) return
     for (const [requestId, request] of this.#requests) {
-      if (request.params.access !== 'write') continue
-      if (this.#scheduler.remove(requestId)) request.stopWaiting?.(this.#createError('unavailable', 'the database is not the primary any more'))
+      const isWrite = request.params.access === 'write'
+      if (isWrite ? !isReplaced : !isSilent) continue
+      const reason = isWrite ? 'the database is not the primary any more' : 'the database is silent'
+      if (this.#scheduler.remove(requestId)) request.stopWaiting?.(this.#createError('unavailable', reason))
       else if (this.#pending.findPhase(requestId) === 'sent' && request.connection !== undefined) this.#destroy(request.connection)
     }
   }
--- a/packages/pool/src/group/group-task.ts
+++ b/packages/pool/src/group/group-task.ts
@@ -44,6 +44,8 @@
 const TICK_MS = 25
 /** The monitor counts in hundreds of milliseconds; under load statuses come every fraction of one. */
 const MONITOR_SPACING_MS = 50
+/** Reads leave a silent database for another one; twice the limit of suspicion spares one that only pauses. */
+const SILENCE_FACTOR = 2
 
 /**
  * Watches all members of one group, confirms positions, and promotes when the primary is lost. It owns the control
@@ -131,6 +133,12 @@
     return reachable.length >= findQuorumSize(this.#watches.size)
   }
 
+  /** Whether a database that was heard before is silent for longer than a slow one would be. */
+  isSilent (database: string): boolean {
+    const watch = this.#watches.get(database)
+    return watch?.status !== undefined && !watch.isReachable(this.#now(), this.#options.suspectAfterMs * SILENCE_FACTOR)
+  }
+
   /** Age of the data that a database holds; undefined when it is not known. The primary's is 0. */
   findDataAgeMs (database: string): number | undefined {
     const status = this.readStatus(database)
--- a/packages/pool/test/process/pool-failover.test.ts
+++ b/packages/pool/test/process/pool-failover.test.ts
@@ -85,6 +85,15 @@
     })
   })
 
+  // Guards against reads that hold out until their deadline at a database which never answers again.
+  it('ends reads at a replica that fell silent as not run, long before their deadline', async () => {
+    await run(async (scene) => {
+      await scene.setFaults({ databases: { b: { paused: true } } })
+      const reads = ['r1', 'r2'].map(async (sessionId) => await scene.execute({ sql: find('x'), access: 'read', database: 'b', sessionId, deadlineMs: 60_000 }))
+      for (const read of reads) await assert.rejects(read, { kind: 'unavailable' })
+    })
+  })
+
   it('finishes what is under way in a shutdown and refuses new work as not run', async () => {
     await run(async (scene) => {
       await scene.execute({ sql: 'BEGIN', transaction: 'begin' })
