Open no connection for requests that wait for a slot

Cause: with more requests waiting than idle connections the pool opened one for each of them and closed it as surplus, with a log-in each time; a profile showed key derivation and connects on top.

--- a/packages/coordination/src/fairness/connection-budget.ts
+++ b/packages/coordination/src/fairness/connection-budget.ts
@@ -13,7 +13,6 @@
   opening: number
   /** Connections that are being closed or cancelled and still count at the database. */
   closing: number
-  waiting: number
 }
 
 /** Owners of other members watch too, and a second owner may exist for a while after a change of hosts. */
@@ -43,15 +42,15 @@
     return new ConnectionBudget(maximum, Math.min(maximum, slots + SPARE_CONNECTIONS))
   }
 
-  /** Number of connections to open now. */
-  computeOpenings ({ busy, idle, opening, closing, waiting }: Counts, now: number): number {
+  /** Number of connections to open now. Requests that wait for a slot need no connection of their own. */
+  computeOpenings ({ busy, idle, opening, closing }: Counts, now: number): number {
     if (now < this.#notBefore) return 0
     const all = busy + idle + opening + closing
-    const wanted = Math.max(this.#warm - busy - idle - opening, waiting - idle - opening)
+    const wanted = this.#warm - busy - idle - opening
     return Math.max(0, Math.min(wanted, this.#maximum - all, this.#failures > 0 ? 1 : Infinity))
   }
 
-  /** Whether an idle connection is one too many, for example after waiting requests have gone. */
+  /** Whether an idle connection is one too many, for example after a limit was lowered. */
   isSurplus ({ busy, idle }: Counts): boolean {
     return busy + idle > this.#warm
   }
--- a/packages/pool/src/database/connection-set.ts
+++ b/packages/pool/src/database/connection-set.ts
@@ -11,7 +11,6 @@
   slots: number
   clock: Clock
   logger: Logger
-  countWaiting: () => number
   /** A connection has become idle. */
   handleIdle: () => void
   handleClosed: (connection: PooledConnection) => void
@@ -57,7 +56,7 @@
 
   putBack (connection: PooledConnection): void {
     if (!this.#all.has(connection)) return
-    if (this.#isClosed || this.#budget.isSurplus({ ...this.#count(), waiting: 0 })) {
+    if (this.#isClosed || this.#budget.isSurplus(this.#count())) {
       this.#all.delete(connection)
       connection.upstream.close()
       return
@@ -95,13 +94,12 @@
     for (const connection of this.#all) connection.destroy()
   }
 
-  #count (): { busy: number, idle: number, opening: number, closing: number, waiting: number } {
+  #count (): { busy: number, idle: number, opening: number, closing: number } {
     return {
       busy: this.#all.size - this.#idle.length,
       idle: this.#idle.length,
       opening: this.#opening,
-      closing: this.#closing,
-      waiting: this.#options.countWaiting()
+      closing: this.#closing
     }
   }
 
--- a/packages/pool/src/database/database-task.ts
+++ b/packages/pool/src/database/database-task.ts
@@ -81,7 +81,6 @@
       slots: database.slots,
       clock,
       logger,
-      countWaiting: () => this.#scheduler.waiting,
       handleIdle: () => { this.#dispatch() },
       handleClosed: (connection) => { this.#handleClosed(connection) },
       handleUnreachable: (reason) => { this.#refuseWaiting(reason) }
