--- a/packages/pool/src/database/pooled-connection.ts
+++ b/packages/pool/src/database/pooled-connection.ts
@@ -4,6 +4,7 @@
 import { sendCancelRequest } from '../upstream/send-cancel-request.js'
 import { UpstreamConnection, type UpstreamAddress } from '../upstream/upstream-connection.js'
 import { PreparedStatements } from './prepared-statements.js'
+import { StatusQuery } from './status-query.js'
 
 interface OpenOptions {
   address: UpstreamAddress
@@ -16,6 +17,7 @@
   readonly upstream: UpstreamConnection
   readonly state = ConnectionState.create()
   readonly prepared = PreparedStatements.create()
+  readonly status = StatusQuery.create()
   /** Slot that the connection's request or transaction holds. */
   slotId: string | undefined
   /** Peer connection of the entry whose session is pinned. */
@@ -46,6 +48,7 @@
   /** Clears session state. False when the connection cannot be used any more. */
   async reset (): Promise<boolean> {
     this.prepared.clear()
+    this.status.clear()
     this.#isReadOnly = false
     try {
       await runQuery(this.upstream, 'DISCARD ALL')
--- a/packages/pool/src/database/prepared-statements.ts
+++ b/packages/pool/src/database/prepared-statements.ts
@@ -40,7 +40,8 @@
     const held = this.#held.get(name)
     if (held?.equals(bytes) === true) return []
     this.#held.set(name, bytes)
-    return held === undefined ? [bytes] : [serialize.close({ type: 'S', name }), bytes]
+    // Closing a name that is not there is allowed, and the caller may have prepared it by SQL.
+    return [serialize.close({ type: 'S', name }), bytes]
   }
 
   #closeRedefined (frames: Uint8Array): Buffer[] {
--- a/packages/pool/src/database/run-idempotent.ts
+++ b/packages/pool/src/database/run-idempotent.ts
@@ -7,7 +7,6 @@
 import { encodeErrorResponse } from '../upstream/encode-error-response.js'
 import type { ErrorFields } from '../upstream/read-error-fields.js'
 import { RowCollector, type CollectedRows } from '../upstream/row-collector.js'
-import { decodeDatabaseStatus } from '../upstream/decode-database-status.js'
 import type { PooledConnection } from './pooled-connection.js'
 import { ResultRelay, type RelayedResult } from './result-relay.js'
 import { runStatement, type StatementOutcome } from './run-statement.js'
@@ -129,8 +128,7 @@
 }
 
 async function readStatus (connection: PooledConnection): Promise<StatementOutcome['databaseStatus']> {
-  const { rows } = await query(connection, 'SELECT * FROM platform_status()')
-  return rows[0] === undefined ? undefined : decodeDatabaseStatus(rows[0])
+  return await connection.status.run(connection.upstream)
 }
 
 function buildInsert ({ key, digest }: Work): string {
--- a/packages/pool/src/database/run-statement.ts
+++ b/packages/pool/src/database/run-statement.ts
@@ -1,7 +1,5 @@
-import { serialize } from 'pg-protocol'
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import type { ExecuteParams } from '@tanagerusher/protocol/peer/execute'
-import { decodeDatabaseStatus } from '../upstream/decode-database-status.js'
 import { RowCollector, type CollectedRows } from '../upstream/row-collector.js'
 import type { UpstreamConnection } from '../upstream/upstream-connection.js'
 import { encodeErrorResponse } from '../upstream/encode-error-response.js'
@@ -21,7 +19,7 @@
   databaseStatus: DatabaseStatus | undefined
 }
 
-const STATUS_QUERY = serialize.query('SELECT * FROM platform_status()')
+const DEALLOCATING = /^(DEALLOCATE|DISCARD)/
 
 /**
  * Runs frontend messages on a connection. Everything leaves in one write: switching the session, missing statements, the
@@ -34,18 +32,20 @@
   const preparation = connection.prepared.prepare(params)
   const prepared = preparation === undefined ? undefined : collect(upstream, preparation)
   upstream.send(params.frames, relay)
-  const status = withStatus ? collect(upstream, STATUS_QUERY) : undefined
+  const status = withStatus ? connection.status.run(upstream) : undefined
   const result = await relay.result
   if ((await switched)?.error !== undefined) upstream.destroy()
   const failed = (await prepared)?.error
   if (failed !== undefined) connection.prepared.clear()
-  const isEndUnread = !withStatus && result.status === 'I' && !result.isRejected
-  const rows = (await (isEndUnread ? collect(upstream, STATUS_QUERY) : status))?.rows
+  if (result.tags.some((tag) => DEALLOCATING.test(tag))) connection.prepared.clear()
+  let databaseStatus = await status
+  // The work ended a transaction unexpectedly, or removed the prepared status query.
+  if (databaseStatus === undefined && result.status === 'I' && !result.isRejected && upstream.isOpen) databaseStatus = await connection.status.run(upstream)
   return {
     ...result,
     // Without its statement the work fails too; the cause is the better answer.
     ...(failed === undefined ? {} : { frames: encodeErrorResponse(failed), error: failed }),
-    databaseStatus: rows?.[0] === undefined ? undefined : decodeDatabaseStatus(rows[0])
+    databaseStatus
   }
 }
 
--- a/packages/pool/test/process/pool-process.test.ts
+++ b/packages/pool/test/process/pool-process.test.ts
@@ -76,6 +76,11 @@
     }
   })
 
+  // Guards against an unknown outcome because the caller removed the pool's own prepared status query.
+  it('knows the position after work that discards all prepared statements', async () => {
+    for (const sql of ['DISCARD ALL', insert('x1'), 'DEALLOCATE ALL', insert('x2')]) assert.ok((await scene.execute({ sql })).position !== null)
+  })
+
   it('cancels a waiting and a running request once, and later requests run undisturbed', async () => {
     await scene.setFaults({ databases: { a: { extraServiceMs: 3000 } } })
     const running = scene.execute({ sql: find('w1'), requestId: 'slow' })
