--- a/packages/entry/src/session/session-tokens.ts
+++ b/packages/entry/src/session/session-tokens.ts
@@ -43,8 +43,9 @@
     const [text, keyId, mac, ...rest] = token.split('.')
     const key = this.#keys.get(keyId ?? '')
     if (text === undefined || mac === undefined || rest.length > 0 || key === undefined) return fail('malformed or signed with an unknown key')
-    const expected = computeMac(key, text)
-    const found = Buffer.from(mac, 'base64url')
+    // Compared as text: a base64 decoder passes over characters outside its alphabet, so several texts give one code.
+    const expected = Buffer.from(computeMac(key, text).toString('base64url'))
+    const found = Buffer.from(mac)
     if (found.length !== expected.length || !timingSafeEqual(found, expected)) return fail('not authentic')
     const payload = sessionToken.decode(Buffer.from(text, 'base64url').toString('utf8'))
     if (payload.isErr()) return fail(payload.error)
--- a/packages/transport/src/peer/frame-codec.ts
+++ b/packages/transport/src/peer/frame-codec.ts
@@ -1,3 +1,4 @@
+import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import { Packr } from 'msgpackr'
 
 const LENGTH_BYTES = 4
@@ -23,21 +24,31 @@
 
   /**
    * Takes bytes and returns the values that are now complete.
-   * @throws RangeError when a frame is longer than the limit; the connection must then be closed.
+   * @throws TanagerusherError `protocol-violation` for a malformed or over-long frame; the connection must then be closed.
    */
   decode (bytes: Buffer): unknown[] {
     this.#chunks.push(bytes)
     this.#buffered += bytes.length
     const values: unknown[] = []
-    for (let body = this.#takeFrame(); body !== undefined; body = this.#takeFrame()) values.push(this.#packr.unpack(body))
+    for (let body = this.#takeFrame(); body !== undefined; body = this.#takeFrame()) values.push(this.#unpack(body))
     return values
   }
 
+  #unpack (body: Buffer): unknown {
+    try {
+      return this.#packr.unpack(body)
+    } catch (cause) {
+      throw TanagerusherError.create('protocol-violation', { details: { reason: String((cause as Error).message) }, cause })
+    }
+  }
+
   #takeFrame (): Buffer | undefined {
     if (this.#buffered < LENGTH_BYTES) return undefined
     const head = this.#chunks[0] as Buffer
     const length = head.length >= LENGTH_BYTES ? head.readUInt32BE(0) : this.#mergeChunks().readUInt32BE(0)
-    if (length > MAX_FRAME_BYTES) throw new RangeError(`frame of ${length} bytes is over the limit of ${MAX_FRAME_BYTES}`)
+    if (length > MAX_FRAME_BYTES) {
+      throw TanagerusherError.create('protocol-violation', { details: { reason: `frame of ${length} bytes is over the limit of ${MAX_FRAME_BYTES}` } })
+    }
     if (this.#buffered < LENGTH_BYTES + length) return undefined
     const all = this.#mergeChunks()
     const end = LENGTH_BYTES + length
