--- a/packages/entry/src/routing/floor-probes.ts
+++ b/packages/entry/src/routing/floor-probes.ts
@@ -27,6 +27,7 @@
   readonly #options: CreateOptions
   readonly #probes = new Map<string, GroupProbe>()
   #nextWaiter = 1
+  #isClosed = false
 
   private constructor (options: CreateOptions) {
     this.#options = options
@@ -37,19 +38,25 @@
   }
 
   /**
-   * Floor for a session that began at `since` and has none.
-   * @throws TanagerusherError `unavailable` at the deadline
+   * Floor for a session that began at `since` and has none; `floor` rejects with `unavailable` at the deadline. `leave`
+   * ends the wait early.
    */
-  async findFloor (group: string, since: number, deadline: number): Promise<Position> {
+  findFloor (group: string, since: number, deadline: number): { floor: Promise<Position>, leave: () => void } {
     const probe = this.#getProbe(group)
     const waiter = this.#nextWaiter++
-    return await new Promise<Position>((resolve, reject) => {
+    const floor = new Promise<Position>((resolve, reject) => {
       probe.waiters.set(waiter, { resolve, reject })
       this.#handle(group, probe, { type: 'wait', waiter, since, deadline })
     })
+    const leave = (): void => {
+      probe.waiters.delete(waiter)
+      this.#handle(group, probe, { type: 'leave', waiter })
+    }
+    return { floor, leave }
   }
 
   close (): void {
+    this.#isClosed = true
     for (const { timer } of this.#probes.values()) clearTimeout(timer)
   }
 
@@ -67,7 +74,7 @@
     for (const effect of probe.module.handle(event, now)) this.#apply(group, probe, effect)
     clearTimeout(probe.timer)
     const next = probe.module.findNextDeadline()
-    if (next !== undefined) probe.timer = setTimeout(() => { this.#handle(group, probe, { type: 'tick' }) }, Math.max(1, next - now))
+    if (next !== undefined && !this.#isClosed) probe.timer = setTimeout(() => { this.#handle(group, probe, { type: 'tick' }) }, Math.max(1, next - now))
   }
 
   #apply (group: string, probe: GroupProbe, effect: FloorProbeEffect): void {
--- a/packages/entry/src/routing/request-router.ts
+++ b/packages/entry/src/routing/request-router.ts
@@ -195,7 +195,8 @@
 
   async #findFloor (request: RunningRequest): Promise<Position> {
     const { entry, session, deadline } = request
-    const floor = await request.wait(this.#options.probes.findFloor(entry.group, session.beganAt, deadline))
+    const probe = this.#options.probes.findFloor(entry.group, session.beganAt, deadline)
+    const floor = await request.wait(probe.floor, probe.leave)
     session.floor.raise(entry.group, floor)
     return floor
   }
--- a/packages/entry/src/routing/running-request.ts
+++ b/packages/entry/src/routing/running-request.ts
@@ -107,10 +107,18 @@
     }))
   }
 
-  /** Waits for something of the entry's own. `abort` ends the wait. */
-  async wait<Value> (promise: Promise<Value>): Promise<Value> {
+  /** Waits for something of the entry's own. `abort` ends the wait and calls `leave`. */
+  async wait<Value> (promise: Promise<Value>, leave: () => void = () => {}): Promise<Value> {
     this.checkAborted()
-    return await Promise.race([promise, new Promise<never>((resolve, reject) => { this.#abortWait = reject })])
+    const aborted = new Promise<never>((resolve, reject) => {
+      this.#abortWait = (error) => {
+        leave()
+        reject(error)
+      }
+    })
+    const value = await Promise.race([promise, aborted])
+    this.#abortWait = undefined
+    return value
   }
 
   /** @throws TanagerusherError the reason with which the request was aborted */
--- a/packages/entry/test/faults.test.ts
+++ b/packages/entry/test/faults.test.ts
@@ -102,6 +102,31 @@
     assert.equal(fleet.pool.executed.length, 2)
   })
 
+  // Guards against a late BEGIN whose connection takes the place of the next transaction's.
+  it('names each transaction apart, so that a late answer to a timed-out BEGIN belongs to none', async () => {
+    fleet = await TestFleet.open({ entry: { statementDeadlineMs: 50 }, settings: { answerGraceMs: 50 } })
+    const client = await fleet.connect()
+    fleet.pool.handle = async () => await new Promise(() => {})
+    await assert.rejects(client.query('BEGIN'), { code: '57P03', hint: /^Not run/ })
+    fleet.pool.handle = (params) => fleet.pool.answer(params)
+    await client.query('BEGIN')
+    await client.query('COMMIT')
+    const [late, begin, commit] = fleet.pool.executed.map(({ sessionId }) => sessionId)
+    assert.notEqual(late, begin)
+    assert.equal(begin, commit)
+    assert.deepEqual(fleet.pool.released, [late])
+  })
+
+  it('answers a bare Sync within a failed transaction without another error', async () => {
+    fleet = await TestFleet.open()
+    const client = await fleet.connect()
+    await client.query('BEGIN')
+    await assert.rejects(client.query('LISTEN a'), { code: '0A000' })
+    const caller = RawCaller.create(client)
+    caller.send(['S', ''], ['Q', 'ROLLBACK\0'])
+    assert.equal(await caller.readTypes(2), 'ZCZ')
+  })
+
   it('says that the outcome is unknown when the answer to COMMIT is lost', async () => {
     fleet = await TestFleet.open({ entry: { repeatable: true } })
     const client = await fleet.connect()
--- a/packages/entry/test/sessions.test.ts
+++ b/packages/entry/test/sessions.test.ts
@@ -248,6 +248,26 @@
     assert.equal((await caller.readTypes(1)).match(/D/g)?.length, total + 1)
   })
 
+  // Guards against input that piles up in the entry while a request runs.
+  it('stops reading from a caller that sends far ahead of its answers', async () => {
+    fleet = await TestFleet.open({ settings: { limits: { maximumPipelinedBytes: 64 * 1024 } } })
+    let finish = (): void => {}
+    fleet.pool.handle = async (params) => {
+      await new Promise<void>((resolve) => { finish = resolve })
+      return fleet.pool.answer(params)
+    }
+    const caller = RawCaller.create(await fleet.connect())
+    const text = `SELECT '${'x'.repeat(1000)}'\0`
+    const count = 20_000
+    caller.send(...Array.from({ length: count }, (): [string, string] => ['Q', text]))
+    await waitForRest(() => caller.socket.writableLength)
+    assert.ok(caller.socket.writableLength > 1_000_000, `${caller.socket.writableLength} bytes are left to send`)
+    fleet.pool.handle = (params) => fleet.pool.answer(params)
+    finish()
+    await caller.readTypes(100)
+    caller.socket.destroy()
+  })
+
   it('runs pipelined messages in order, with named statements that outlive their batch and connection', async () => {
     fleet = await TestFleet.open()
     const caller = RawCaller.create(await fleet.connect())
