--- a/packages/load/src/fleet/fleet-options.ts
+++ b/packages/load/src/fleet/fleet-options.ts
@@ -13,4 +13,6 @@
   rateFactor?: number
   /** Whether entries may serve reads from replicas. */
   readsOnReplicas?: boolean
+  /** Leaves the administration APIs uncalled, so that the first call happens under load. */
+  coldAdministration?: boolean
 }
--- a/packages/load/src/fleet/fleet.ts
+++ b/packages/load/src/fleet/fleet.ts
@@ -18,6 +18,8 @@
 const READY_TIMEOUT_MS = 30_000
 const READY_INTERVAL_MS = 50
 const QUERY_TIMEOUT_MS = 5000
+/** Buckets of a new fleet start empty and fill within burst / rate, 0.5 s in both workloads. */
+const SETTLE_MS = 1000
 
 type AnswerStatus = { status: number, body: unknown }
 
@@ -178,9 +180,17 @@
     for (const group of this.plan.groups) this.#start(group)
     for (const { processes } of this.plan.hosts) for (const process of processes) this.#start(process)
     await Promise.all(this.plan.hosts.map(({ entryPort }) => this.#waitForEntry(entryPort)))
+    if (this.options.coldAdministration !== true) await this.#waitForAdministration()
     this.#isStarted = true
   }
 
+  /** The first call of an administration API loads its framework, which stalls the control process for a while. */
+  async #waitForAdministration (): Promise<void> {
+    const answers = await Promise.all(this.plan.hosts.map(async ({ administrationUrl }) => await callJson(`${administrationUrl}/v1/openapi.json`)))
+    if (answers.some(({ status }) => status !== 200)) throw new Error('an administration API did not become ready')
+    await new Promise((resolve) => { setTimeout(resolve, SETTLE_MS) })
+  }
+
   #start ({ name, program, settings }: PlannedProcess): void {
     this.#supervisor.start(name, findProgram(program), settings)
   }
--- a/packages/load/src/replay/trace-line.ts
+++ b/packages/load/src/replay/trace-line.ts
@@ -10,6 +10,7 @@
   seed: z.number().int(),
   groups: z.number().int().min(1).max(3).default(1),
   hosts: z.number().int().min(1).max(4).default(2),
+  coldAdministration: z.boolean().default(false).describe('Whether the first call of the administration API happens during the trace'),
   /** Numbers of the guarantees in section 1.2 of the design that the trace covers. */
   guarantees: z.array(z.number().int().min(1).max(13)).min(1)
 })
--- a/packages/load/src/replay/trace-runner.ts
+++ b/packages/load/src/replay/trace-runner.ts
@@ -55,9 +55,9 @@
 
   /** Starts the fleet, replays the trace and ends the fleet in every case. */
   static async run (trace: Trace): Promise<TraceResult> {
-    const { deployment, seed, groups, hosts } = trace.header
+    const { deployment, seed, groups, hosts, coldAdministration } = trace.header
     const workload = findWorkload(deployment) as Workload
-    const fleet = await Fleet.start({ workload, seed, groups, hosts })
+    const fleet = await Fleet.start({ workload, seed, groups, hosts, coldAdministration })
     try {
       return await new TraceRunner(trace, workload, fleet).#replay()
     } finally {
