Serve again when a leaving database becomes the primary a second time

Cause: after it had closed its connections, a leaving database that was promoted because the others were lost let every request wait until its deadline. No test causes this case yet. Conclusion: connections are opened again while it is the primary.

--- a/packages/pool/src/database/connection-set.ts
+++ b/packages/pool/src/database/connection-set.ts
@@ -41,6 +41,7 @@
   }
 
   get idle (): number { return this.#idle.length }
+  get isClosed (): boolean { return this.#isClosed }
   get size (): number { return this.#all.size }
 
   [Symbol.iterator] (): IterableIterator<PooledConnection> {
--- a/packages/pool/src/database/database-task.ts
+++ b/packages/pool/src/database/database-task.ts
@@ -485,10 +485,17 @@
     for (const connection of [...this.#pinned.values()]) {
       if (connection.idleDeadline !== undefined && connection.idleDeadline <= now) this.#destroy(connection)
     }
-    if (this.#isLeaving && !this.isBusy && group.findPrimary()?.database !== this.name) this.#connections.close()
+    if (this.#isLeaving) this.#updateLeaving()
     if (this.#scheduler.waiting > 0) this.#dispatch()
   }
 
+  /** Closes what is left, unless the others are lost and this database is the primary again. */
+  #updateLeaving (): void {
+    const isPrimary = this.#options.group.findPrimary()?.database === this.name
+    if (isPrimary && this.#connections.isClosed) this.#connections.reopen()
+    else if (!isPrimary && !this.isBusy) this.#connections.close()
+  }
+
   /** Another database is the primary now. One that is cut off does not say so itself, so the group's view decides. */
   #isReplaced (): boolean {
     const primary = this.#options.group.findPrimary()
