--- a/packages/pool/test/process/pool-failover.test.ts
+++ b/packages/pool/test/process/pool-failover.test.ts
@@ -74,6 +74,18 @@
     })
   })
 
+  // Guards against requests that wait for connections which a leaving database has closed for good.
+  it('serves at a leaving database that becomes the primary because the others are lost', async () => {
+    await run(async (scene) => {
+      const databases = scene.group.databases.map((database) => ({ ...database, leaving: database.name !== 'a' }))
+      scene.control.updateGroup({ ...scene.group, databases })
+      await assert.rejects(scene.execute({ sql: find('x'), access: 'read', database: 'b' }), { kind: 'unavailable' })
+      await scene.setFaults({ databases: { a: { crashed: true } } })
+      await scene.waitUntil(() => scene.primary != null && scene.primary !== 'a')
+      assert.ok((await scene.execute({ sql: insert('g1') })).position !== null)
+    })
+  })
+
   // Guards against stale reads: the pool, not the entry, decides whether its replica holds the floor.
   it('waits briefly for a replica that lags and then refuses the read as not run', async () => {
     await run(async (scene) => {
