--- a/packages/capacity/src/main.ts
+++ b/packages/capacity/src/main.ts
@@ -25,4 +25,15 @@
     }
   })
 
+program.command('path')
+  .description('statements per second and latency through one host beside a direct connection, in alternating rounds')
+  .option('--clients <n>', 'connections', Number, 32)
+  .option('--seconds <n>', 'duration of each measurement', Number, 5)
+  .option('--rounds <n>', 'rounds', Number, 3)
+  .option('--seed <n>', 'seed', Number, 1)
+  .action(async (flags: { clients: number, seconds: number, rounds: number, seed: number }) => {
+    const { runPathBench } = await import('./path/run-path-bench.js')
+    for (const result of await runPathBench(flags)) console.log(JSON.stringify(result))
+  })
+
 await program.parseAsync()
--- /dev/null
+++ b/packages/capacity/src/path/read-process-usage.ts
@@ -0,0 +1,24 @@
+import { readFileSync } from 'node:fs'
+
+const TICKS_PER_SECOND = 100
+const KILOBYTE = 1024
+
+export interface ProcessUsage {
+  /** Processor time since the start of the process, in ms. */
+  cpuMs: number
+  residentBytes: number
+  /** Bytes that the process wrote, to sockets included. */
+  writtenBytes: number
+}
+
+/** Reads what a process has used, from the proc file system. */
+export function readProcessUsage (processId: number): ProcessUsage {
+  const fields = readFileSync(`/proc/${processId}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? []
+  const status = readFileSync(`/proc/${processId}/status`, 'utf8')
+  const written = /wchar: (\d+)/.exec(readFileSync(`/proc/${processId}/io`, 'utf8'))?.[1]
+  return {
+    cpuMs: (Number(fields[11]) + Number(fields[12])) * 1000 / TICKS_PER_SECOND,
+    residentBytes: Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]) * KILOBYTE,
+    writtenBytes: Number(written)
+  }
+}
