Deliver the last message of a refused connection and close paused databases

Cause: with latency the connection ended before its last message was sent, so that a refusal (53300) and the answers before a dropped commit answer were cut off; a shutdown waited for ever while a database was paused. Conclusion: the end of a connection goes through the same channel as its bytes; a shutdown drops what is left after 1 s. A group in two processes has a test.

--- a/packages/database/src/wire/wire-connection.ts
+++ b/packages/database/src/wire/wire-connection.ts
@@ -33,7 +33,8 @@
   readonly #reader = new FrontendReader()
   readonly #writer = BackendWriter.create()
   readonly #inbound: HeldChannel<Buffer>
-  readonly #outbound: HeldChannel<Buffer>
+  /** Bytes for the client; null ends the connection after what was sent before. */
+  readonly #outbound: HeldChannel<Buffer | null>
   readonly #unwatch: () => void
   readonly #queue: FrontendMessage[] = []
   #authentication: Authentication | undefined
@@ -56,7 +57,10 @@
     this.#outbound = HeldChannel.create({
       delayMs: outboundMs,
       isBlocked: () => faults.isPaused(member.name) || faults.isClientBlocked(member.name, address, 'answers'),
-      deliver: (bytes) => { if (socket.writable) socket.write(bytes) }
+      deliver: (bytes) => {
+        if (bytes === null) socket.destroySoon()
+        else if (socket.writable) socket.write(bytes)
+      }
     })
     this.#unwatch = faults.watch(() => {
       this.#inbound.release()
@@ -84,7 +88,7 @@
   end (): void {
     this.#writer.addError('FATAL', '57P01', 'terminating connection due to administrator command')
     this.#flush()
-    this.#options.socket.end()
+    this.#outbound.push(null)
   }
 
   #receive (bytes: Buffer): void {
@@ -176,7 +180,13 @@
   #startSession (): void {
     const { environment, socket, processId } = this.#options
     this.#session = WireSession.create({
-      environment, socket, processId, startup: this.#startup, writer: this.#writer, send: (bytes) => { this.#outbound.push(bytes) }
+      environment,
+      socket,
+      processId,
+      startup: this.#startup,
+      writer: this.#writer,
+      send: (bytes) => { this.#outbound.push(bytes) },
+      end: () => { this.#outbound.push(null) }
     })
     this.#session.start()
   }
@@ -184,7 +194,7 @@
   #reject (sqlState: string, message: string): void {
     this.#writer.addError('FATAL', sqlState, message)
     this.#flush()
-    this.#options.socket.end()
+    this.#outbound.push(null)
   }
 
   #flush (): void {
--- a/packages/database/src/wire/wire-server.ts
+++ b/packages/database/src/wire/wire-server.ts
@@ -10,6 +10,8 @@
   computeLatencyMs: (clientAddress: string) => number
 }
 
+const CLOSE_MS = 1000
+
 /** PostgreSQL protocol server of one database. */
 export class WireServer {
   readonly #options: CreateOptions
@@ -43,7 +45,7 @@
   /** Refuses new connections and drops all present ones, as a crash does. */
   async stop (): Promise<void> {
     const closed = this.#stopListening()
-    for (const connection of this.#connections.values()) connection.destroy()
+    this.#destroyConnections()
     await closed
   }
 
@@ -51,7 +53,14 @@
   async close (): Promise<void> {
     const closed = this.#stopListening()
     for (const connection of this.#connections.values()) connection.end()
+    // A paused database or a client that is cut off holds the farewell back.
+    const timer = setTimeout(() => { this.#destroyConnections() }, CLOSE_MS)
     await closed
+    clearTimeout(timer)
+  }
+
+  #destroyConnections (): void {
+    for (const connection of this.#connections.values()) connection.destroy()
   }
 
   #stopListening (): Promise<void> {
--- a/packages/database/src/wire/wire-session.ts
+++ b/packages/database/src/wire/wire-session.ts
@@ -21,6 +21,8 @@
   socket: Socket
   /** Sends bytes to the client, late or never as the faults say. */
   send: (bytes: Buffer) => void
+  /** Closes the connection behind what was sent. */
+  end: () => void
   processId: number
   startup: ReadonlyMap<string, string>
   writer: BackendWriter
@@ -47,6 +49,7 @@
   readonly #environment: SessionEnvironment
   readonly #socket: Socket
   readonly #send: (bytes: Buffer) => void
+  readonly #end: () => void
   readonly #writer: BackendWriter
   readonly #settings: SessionSettings
   readonly #executor: StatementExecutor
@@ -58,10 +61,11 @@
   /** Length of the complete answers in the writer; what follows belongs to the message in hand. */
   #answeredBytes = 0
 
-  private constructor ({ environment, socket, send, processId, startup, writer }: CreateOptions) {
+  private constructor ({ environment, socket, send, end, processId, startup, writer }: CreateOptions) {
     this.#environment = environment
     this.#socket = socket
     this.#send = send
+    this.#end = end
     this.#writer = writer
     this.processId = processId
     this.#settings = SessionSettings.create(startup)
@@ -125,8 +129,7 @@
       case 'C': return this.#closeStatement(BodyReader.create(body))
       case 'S': return this.#sync()
       case 'H': return
-      case 'X': this.#socket.end()
-        return
+      case 'X': return this.#end()
       // Messages of a COPY that was never started are ignored, as the protocol says.
       case 'd': case 'c': case 'f': return
       default: throw SqlError.create('08P01', `unexpected message type ${type}`)
@@ -365,7 +368,7 @@
     if (!wrote || !this.#environment.faults.takeDroppedCommitAnswer(this.#environment.member.name)) return
     this.#isClosed = true
     this.#send(this.#writer.take().subarray(0, this.#answeredBytes))
-    this.#socket.destroySoon()
+    this.#end()
   }
 
   #findStatement (name: string): PreparedStatement {
--- a/packages/database/test/replication.test.ts
+++ b/packages/database/test/replication.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { after, before, describe, it } from 'node:test'
 import type pg from 'pg'
+import { findFreePorts } from './fixtures/find-free-ports.js'
 import { TestGroup, type Status } from './fixtures/test-group.js'
 import { waitUntil } from './fixtures/wait-until.js'
 
@@ -144,3 +145,27 @@
     assert.equal((await call(b, 'platform_wait($1, $2, 3600000, 6)', [status.log_term, status.log_position])).promised_term, 7)
   })
 })
+
+describe('group in several processes', () => {
+  // Guards against a group that works only while its databases share a process.
+  it('replicates, holds messages at the receiving end of a partition, and shuts down while a database is paused', async () => {
+    const ports = await findFreePorts(6)
+    const members = ['a', 'b', 'c'].map((name, index) => ({ name, port: ports[index], replicationPort: ports[index + 3] }))
+    const [left, right] = [await TestGroup.open({ members, serves: ['a'] }), await TestGroup.open({ members, serves: ['b', 'c'] })]
+    const [primary, replica] = [await left.connect('a'), await right.connect('b')]
+    await insert(primary, 'p1')
+    const { log_position: position } = await readStatus(primary)
+    await waitForPosition(replica, position)
+    await right.setFaults({ partitions: [{ from: 'a', to: 'b' }] })
+    await insert(primary, 'p2')
+    const other = await right.connect('c')
+    await waitForPosition(other, position + 1)
+    assert.equal((await readStatus(replica)).log_position, position)
+    await right.setFaults({})
+    await waitForPosition(replica, position + 1)
+    assert.equal(left.service.findPorts('b'), undefined)
+    await right.setFaults({ databases: { c: { paused: true } } })
+    await right.service.close()
+    await left.close()
+  })
+})
--- a/packages/database/test/wire.test.ts
+++ b/packages/database/test/wire.test.ts
@@ -55,6 +55,18 @@
   })
 })
 
+describe('latency', () => {
+  // Guards against the last message of a refused connection being cut off because it is still under way.
+  it('delivers a refusal to a client in another region', async () => {
+    const clients = [{ prefix: '127.0.0.', dataCentre: 'far', region: 'far' }]
+    group = await TestGroup.open({ connections: 1, network: { betweenRegionsMs: 5, clients } })
+    const client = await group.connect('a')
+    await assert.rejects(group.connect('a'), { code: '53300' })
+    await client.query("INSERT INTO payment (id) VALUES ('far')")
+    await group.close()
+  })
+})
+
 describe('extended protocol', () => {
   before(async () => { group = await TestGroup.open() })
   after(async () => { await group.close() })
