--- a/packages/load/src/replay/trace-line.ts
+++ b/packages/load/src/replay/trace-line.ts
@@ -10,6 +10,7 @@
   seed: z.number().int(),
   groups: z.number().int().min(1).max(3).default(1),
   hosts: z.number().int().min(1).max(4).default(2),
+  coldAdministration: z.boolean().default(false).describe('Whether the first call of the administration API happens during the trace'),
   /** Numbers of the guarantees in section 1.2 of the design that the trace covers. */
   guarantees: z.array(z.number().int().min(1).max(13)).min(1)
 })
@@ -20,6 +21,7 @@
   session: z.string().min(1),
   organisation: z.string(),
   class: z.string(),
+  entry: z.string().optional().describe('Catalogue entry; absent means the one of the organisation and class'),
   host: z.string().optional(),
   token: z.boolean().default(true).describe('Whether the session presents its token when it moves to another host'),
   sql: z.string().min(1),
@@ -65,7 +67,7 @@
 const expectSchema = z.strictObject({
   type: z.literal('expect'),
   measure: z.enum([
-    'violations', 'run', 'answered-share', 'failover-gap', 'false-rejections', 'replica-share', 'worst-served', 'withdrawal', 'interrupted'
+    'violations', 'run', 'answered-share', 'failover-gap', 'false-rejections', 'refused', 'replica-share', 'worst-served', 'withdrawal', 'interrupted'
   ]),
   group: z.string().optional(),
   organisation: z.string().optional(),
--- a/packages/pool/src/database/active-request.ts
+++ b/packages/pool/src/database/active-request.ts
@@ -4,7 +4,7 @@
 
 /** One request of an entry from its arrival to its answer. */
 export interface ActiveRequest {
-  readonly params: ExecuteParams
+  params: ExecuteParams
   /** Identifies the peer connection that the request came over. */
   readonly owner: string
   readonly deadline: number
@@ -12,6 +12,8 @@
   connection?: PooledConnection | undefined
   relay?: ResultRelay | undefined
   cancelling?: Promise<boolean> | undefined
+  /** Context of the request's span, when it is traced. */
+  traceparent?: string
   isTimedOut: boolean
   /** The entry that sent it is gone. */
   isAbandoned: boolean
