--- a/packages/load/src/demo/run-demo.ts
+++ b/packages/load/src/demo/run-demo.ts
@@ -13,6 +13,8 @@
 }
 
 const DURATION_MS = 12_000
+/** Entries learn the replicas' positions in the first seconds of a new fleet; until then the primary serves reads. */
+const STARTED_MS = 2500
 const CUT_OFF_MS = 3000
 const WITHDRAW_MS = 5000
 const HEAL_MS = 8000
@@ -33,9 +35,9 @@
 const EXPECTATIONS = [
   { title: 'failover gap of the cut-off group, ms', ...ALL, measure: 'failover-gap' as const, group: TOLL_GROUP, atMost: 10_000 },
   { title: 'work under the withdrawn key after its withdrawal, ms', ...ALL, measure: 'withdrawal' as const, atMost: 8000 },
-  { title: 'requests inside the rate refused for it', ...ALL, measure: 'false-rejections' as const, atMost: 0 },
+  { title: 'requests refused for the rate at organisations inside it', ...ALL, measure: 'false-rejections' as const, except: [SURGING], atMost: 0 },
   { title: 'requests of the surging organisation refused for its rate', ...ALL, measure: 'refused' as const, organisation: SURGING, atLeast: 1 },
-  { title: 'share of reads served by replicas', ...ALL, measure: 'replica-share' as const, atLeast: 0.95 },
+  { title: 'share of reads served by replicas', ...ALL, measure: 'replica-share' as const, fromMs: STARTED_MS, atLeast: 0.95 },
   { title: 'answered work', ...ALL, measure: 'run' as const, atLeast: 500 }
 ]
 const CHECKS = [
--- a/packages/load/src/replay/evaluate-expectation.ts
+++ b/packages/load/src/replay/evaluate-expectation.ts
@@ -26,13 +26,13 @@
   return { holds, text: `${measure}${scope === '' ? '' : ` (${scope})`} is ${formatFigure(figure)}, stated ${bound}` }
 }
 
-function selectOperations ({ organisation, class: callerClass, fromMs, untilMs }: Expectation, { operations }: History): Operation[] {
-  return operations.filter((operation) => operation.startMs >= fromMs && operation.startMs < untilMs &&
+function selectOperations ({ except, organisation, class: callerClass, fromMs, untilMs }: Expectation, { operations }: History): Operation[] {
+  return operations.filter((operation) => !except.includes(operation.organisation) && operation.startMs >= fromMs && operation.startMs < untilMs &&
     (organisation === undefined || operation.organisation === organisation) &&
     (callerClass === undefined || operation.entry === `${operation.organisation}-${callerClass}`))
 }
 
-function computeFigure ({ measure, group, except, fromMs, untilMs }: Expectation, history: History): number | undefined {
+function computeFigure ({ measure, group, fromMs, untilMs }: Expectation, history: History): number | undefined {
   const { operations, faults, withdrawals } = history
   switch (measure) {
     case 'violations': return checkHistory(history).length
@@ -42,7 +42,7 @@
     case 'false-rejections': return measureFalseRejections(history).refused
     case 'refused': return operations.filter(({ sqlState }) => sqlState === RATE_EXCEEDED).length
     case 'replica-share': return measureReplicaShare(history)
-    case 'worst-served': return measureWorstServed(history, { except, fromMs, untilMs: Math.min(untilMs, findEnd(operations)) })?.share
+    case 'worst-served': return measureWorstServed(history, { fromMs, untilMs: Math.min(untilMs, findEnd(operations)) })?.share
     case 'withdrawal': return withdrawals.length === 0 ? undefined : findLatestUse(history)
     case 'interrupted': return operations.filter(({ outcome }) => outcome === 'unknown').length
   }
