--- a/packages/control/src/process/control-process.ts
+++ b/packages/control/src/process/control-process.ts
@@ -17,6 +17,7 @@
 import { BudgetTask } from '../budget/budget-task.js'
 import { ShareTableTask } from '../budget/share-table-task.js'
 import { ConfigurationTask } from '../configuration/configuration-task.js'
+import { KeyExpiryTask } from '../configuration/key-expiry-task.js'
 import { readSnapshotFile } from '../configuration/read-snapshot-file.js'
 import { createShareRow } from '../membership/create-share-row.js'
 import { HeartbeatTask } from '../membership/heartbeat-task.js'
@@ -54,6 +55,7 @@
   readonly #heartbeats: HeartbeatTask
   readonly #budgets: BudgetTask
   readonly #shares: ShareTableTask
+  readonly #expiry: KeyExpiryTask
   readonly #registry: ProcessRegistry
   readonly #drain: Drain
   readonly #timers: NodeJS.Timeout[] = []
@@ -75,6 +77,7 @@
     })
     this.#budgets = BudgetTask.create({ clock, links: this.#links, view: this.#view, shareTable: this.#shareTable })
     this.#shares = ShareTableTask.create({ clock, store, logger, view: this.#view, shareTable: this.#shareTable })
+    this.#expiry = KeyExpiryTask.create({ clock, store, logger, view: this.#view, replica: this.#configuration.replica })
     this.#heartbeats = HeartbeatTask.create({
       clock,
       links: this.#links,
@@ -198,7 +201,9 @@
     this.#freshness.recordConfirmation(this.#configuration.findMajorityConfirmation(this.#shareTable.value?.hosts ?? [], now))
     this.#updateState()
     this.#handleMembers()
-    if (this.#configuration.isStoreFresh(now)) void this.#shares.run()
+    if (!this.#configuration.isStoreFresh(now)) return
+    void this.#shares.run()
+    void this.#expiry.run()
   }
 
   #handleMembers (): void {
--- a/packages/control/test/administration.test.ts
+++ b/packages/control/test/administration.test.ts
@@ -84,6 +84,17 @@
     assert.equal((await fleet.call(control, { path })).body.storedKey, undefined)
   })
 
+  // Guards against a former key that outlives the overlap of its rotation, and one that ends before.
+  it('rotates: the new key is there at once, the former ones are withdrawn when the overlap ends', async () => {
+    const rotate = async (overlapSeconds: number) => (await fleet.call(control, { method: 'POST', path: '/v1/organisations/o2/rotate-key', body: { overlapSeconds } })).body
+    const isWithdrawn = async (name: unknown) => (await fleet.call(control, { path: `/v1/keys/${String(name)}` })).body.withdrawn
+    const first = await rotate(3600)
+    const second = await rotate(0)
+    assert.deepEqual(second.formerKeys, [first.name])
+    await fleet.waitFor(async () => await isWithdrawn(first.name) === true, 'the expiry')
+    assert.equal(await isWithdrawn(second.name), false)
+  })
+
   // Guards against a damaged or unknown snapshot taken by a starting host.
   it('exports a snapshot that a host imports, and refuses a damaged or unknown one', async () => {
     const { body } = await fleet.call(control, { path: '/v1/snapshot' })
