--- a/packages/coordination/test/budget/budget-promise.test.ts
+++ b/packages/coordination/test/budget/budget-promise.test.ts
@@ -68,6 +68,13 @@
     })
   }
 
+  // Guards against a gap when partitions move: each host in turn leaves and comes back.
+  it('admits what is within the rate while each host in turn is drained and taken back', () => {
+    const faults = [0, 1, 2, 3].map((host): Fault => ({ at: 12_000 + host * 9000, type: 'leave', host, durationMs: 4000 }))
+    const fleet = new BudgetFleet({ seed: SEED, hosts: 4, rate: RATE, burst: BURST, durationMs: 60_000, faults, demand: (host) => host === 0 ? 60 : 0, isReliable: true }).run()
+    assert.equal(fleet.rejections.filter((at) => at >= SETTLED_MS).length, 0)
+  })
+
   // Guards against shares that lapse with the store while all hosts are alive.
   it('admits what is within the rate during a long store outage', () => {
     const fleet = new BudgetFleet({
