Send heartbeats once a second and the own description only when it changed

Cause: the description of the host made up most of each heartbeat, and every pair of controls exchanged four messages in half a second. With the answers each host still hears the other twice a second.

--- a/packages/control/src/configuration/configuration-task.ts
+++ b/packages/control/src/configuration/configuration-task.ts
@@ -6,7 +6,7 @@
 import { configurationFetch } from '@tanagerusher/protocol/peer/configuration-fetch'
 import { configurationSubscribe } from '@tanagerusher/protocol/peer/configuration-subscribe'
 import { configurationUpdateNotification } from '@tanagerusher/protocol/peer/configuration-update'
-import type { MembershipHeartbeatResult } from '@tanagerusher/protocol/peer/membership-heartbeat'
+import type { HeartbeatContent } from '@tanagerusher/protocol/peer/membership-heartbeat'
 import type { ConfigurationUpdate } from '@tanagerusher/state/configuration/configuration-update'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
 import type { Logger } from 'winston'
@@ -110,7 +110,7 @@
   }
 
   /** Takes what a heartbeat's answer says of the peer's configuration. `sentAt` is when the heartbeat was sent. */
-  handleHeartbeatAnswer ({ member, digest, storeAgeMs }: MembershipHeartbeatResult, sentAt: number): void {
+  handleHeartbeatAnswer ({ member, digest, storeAgeMs }: HeartbeatContent, sentAt: number): void {
     const { version } = this.replica
     const isSame = member.configurationVersion === version && digest === this.replica.digest
     if (member.configurationVersion > version) {
--- a/packages/control/src/membership/heartbeat-task.ts
+++ b/packages/control/src/membership/heartbeat-task.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { ShareTable } from '@tanagerusher/coordination/budget/share-table'
 import type { MembershipView } from '@tanagerusher/coordination/membership/membership-view'
-import { membershipHeartbeat, type MembershipHeartbeatParams, type MembershipHeartbeatResult } from '@tanagerusher/protocol/peer/membership-heartbeat'
+import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import { membershipHeartbeat, type HeartbeatContent, type MembershipHeartbeatParams, type MembershipHeartbeatResult } from '@tanagerusher/protocol/peer/membership-heartbeat'
 import type { FleetMember } from '@tanagerusher/state/common/fleet-member'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
 import type { BudgetTask } from '../budget/budget-task.js'
@@ -17,23 +18,27 @@
   seeds: readonly PeerAddress[]
   budgets: Pick<BudgetTask, 'takeRenewal' | 'delegate' | 'handleRenewalAnswer'>
   describeSelf: () => Pick<MembershipHeartbeatResult, 'digest' | 'storeAgeMs'>
-  handleAnswer: (answer: MembershipHeartbeatResult, sentAt: number) => void
+  handleAnswer: (answer: HeartbeatContent, sentAt: number) => void
   /** Called after each round. */
   handleRound: () => void
   /** A host came, went or changed its state. */
   handleChange: () => void
 }
 
-const INTERVAL_MS = 500
+/** Each host hears every other one twice in this time: by its heartbeat and by the answer to the own one. */
+const INTERVAL_MS = 1000
 const TIMEOUT_MS = 1500
 /** Rounds between two questions for the hosts that a peer knows. */
-const MEMBERS_EVERY = 20
+const MEMBERS_EVERY = 10
 /** Old addresses are dropped first; a host that lives is a member and needs no hint. */
 const HINT_LIMIT = 64
 
-/** Sends heartbeats to the other controls every 500 ms and answers theirs. */
+/** Sends heartbeats to the other controls every second and answers theirs. */
 export class HeartbeatTask {
   readonly #options: CreateOptions
+  /** Own member as last sent, and the peer's as last received, over each connection. */
+  readonly #sent = new WeakMap<PeerConnection, FleetMember>()
+  readonly #received = new WeakMap<PeerConnection, FleetMember>()
   #hints: PeerAddress[] = []
   #timer: NodeJS.Timeout | undefined
   #rounds = 0
@@ -66,16 +71,18 @@
   }
 
   prepareConnection (connection: PeerConnection): void {
-    connection.addMethod(membershipHeartbeat, async (params) => this.#answer(params))
+    connection.addMethod(membershipHeartbeat, async (params) => this.#answer(connection, params))
   }
 
-  #answer ({ wantMembers, member, shareTableVersion, delegate }: MembershipHeartbeatParams): MembershipHeartbeatResult {
+  #answer (connection: PeerConnection, params: MembershipHeartbeatParams): MembershipHeartbeatResult {
     const { clock, view, shareTable } = this.#options
+    const { wantMembers, shareTableVersion, delegate } = params
+    const member = this.#readMember(connection, params.member)
     const now = clock.readTime()
     if (view.recordHeartbeat(member, now)) this.#options.handleChange()
     shareTable.recordTableVersion(createShareRow(member), shareTableVersion, now)
     return {
-      ...this.#describe(),
+      ...this.#describe(connection),
       ...(delegate === undefined ? {} : { delegated: this.#options.budgets.delegate(delegate) }),
       ...(wantMembers ? { members: view.listMembers(now).slice(1) } : {})
     }
@@ -102,9 +109,9 @@
       const connection = await links.connect(address)
       const sentAt = clock.readTime()
       const delegate = member === undefined ? undefined : budgets.takeRenewal(member.incarnation)
-      const params = { ...this.#describe(), ...(wantMembers ? { wantMembers } : {}), ...(delegate === undefined ? {} : { delegate }) }
+      const params = { ...this.#describe(connection), ...(wantMembers ? { wantMembers } : {}), ...(delegate === undefined ? {} : { delegate }) }
       const answer = await connection.request(membershipHeartbeat, params, TIMEOUT_MS)
-      this.#handleAnswer(answer, sentAt)
+      this.#handleAnswer({ ...answer, member: this.#readMember(connection, answer.member) }, answer.members, sentAt)
       if (delegate !== undefined && answer.delegated !== undefined) budgets.handleRenewalAnswer(delegate, answer.delegated, sentAt)
     } catch (error) {
       const reason = String((error as { details?: { reason?: unknown } }).details?.reason ?? '')
@@ -112,12 +119,12 @@
     }
   }
 
-  #handleAnswer (answer: MembershipHeartbeatResult, sentAt: number): void {
+  #handleAnswer (answer: HeartbeatContent, members: FleetMember[] | undefined, sentAt: number): void {
     const { clock, view, shareTable, handleAnswer } = this.#options
     const now = clock.readTime()
     if (view.recordHeartbeat(answer.member, now)) this.#options.handleChange()
     shareTable.recordAnswer({ ...createShareRow(answer.member), tableVersion: answer.shareTableVersion, sentAt }, now)
-    if (answer.members !== undefined) this.#addHints(answer.members)
+    if (members !== undefined) this.#addHints(members)
     handleAnswer(answer, sentAt)
   }
 
@@ -132,8 +139,17 @@
     this.#hints = [...this.#hints, ...added].slice(-HINT_LIMIT)
   }
 
-  #describe (): Pick<MembershipHeartbeatResult, 'member' | 'shareTableVersion' | 'digest' | 'storeAgeMs'> {
+  #readMember (connection: PeerConnection, received: FleetMember | undefined): FleetMember {
+    const member = received ?? this.#received.get(connection)
+    if (member === undefined) throw TanagerusherError.create('protocol-violation', { details: { reason: 'the first heartbeat of a connection names no member' } })
+    this.#received.set(connection, member)
+    return member
+  }
+
+  #describe (connection: PeerConnection): Pick<MembershipHeartbeatResult, 'member' | 'shareTableVersion' | 'digest' | 'storeAgeMs'> {
     const { view, shareTable, describeSelf } = this.#options
-    return { member: view.self, shareTableVersion: shareTable.version, ...describeSelf() }
+    const isKnown = this.#sent.get(connection) === view.self
+    this.#sent.set(connection, view.self)
+    return { ...(isKnown ? {} : { member: view.self }), shareTableVersion: shareTable.version, ...describeSelf() }
   }
 }
--- a/packages/coordination/src/membership/membership-view.ts
+++ b/packages/coordination/src/membership/membership-view.ts
@@ -39,7 +39,10 @@
 
   get self (): FleetMember { return this.#self }
 
+  /** Keeps the same object when nothing changes, so that it need not be sent again. */
   updateSelf (change: Partial<FleetMember>): void {
+    const isSame = Object.entries(change).every(([field, value]) => JSON.stringify(value) === JSON.stringify(this.#self[field]))
+    if (isSame) return
     this.#self = { ...this.#self, ...change }
   }
 
--- a/packages/protocol/src/peer/membership-heartbeat.ts
+++ b/packages/protocol/src/peer/membership-heartbeat.ts
@@ -3,10 +3,11 @@
 import { budgetDelegate } from './budget-delegate.js'
 
 const contentSchema = z.looseObject({
-  member: fleetMemberSchema,
+  /** Absent when it is what the sender sent last over the same connection: it makes up most of a heartbeat. */
+  member: fleetMemberSchema.optional(),
   /** Store version of the newest share table that the sender knows; 0 for none. */
   shareTableVersion: z.number().int().nonnegative(),
-  /** Digest of the sender's configuration at `member.configurationVersion`. */
+  /** Digest of the sender's configuration at the member's `configurationVersion`. */
   digest: z.string(),
   /** Time since the store was asked and had nothing newer than the sender's configuration; null when not known. */
   storeAgeMs: z.number().nullable()
@@ -27,5 +28,7 @@
   })
 } as const
 
+/** What a heartbeat or its answer says, with the member filled in. */
+export type HeartbeatContent = z.infer<typeof contentSchema> & { member: z.infer<typeof fleetMemberSchema> }
 export type MembershipHeartbeatParams = z.infer<typeof membershipHeartbeat.params>
 export type MembershipHeartbeatResult = z.infer<typeof membershipHeartbeat.result>
