--- a/packages/cli/src/commands/add-key-commands.ts
+++ b/packages/cli/src/commands/add-key-commands.ts
@@ -1,5 +1,6 @@
-import { writeFileSync } from 'node:fs'
+import { unlinkSync, writeFileSync } from 'node:fs'
 import type { Command } from 'commander'
+import { CommandFailure } from '../client/command-failure.js'
 import { readText } from '../client/read-text.js'
 import { printResult } from '../output/print-result.js'
 import type { CommandContext, OpenContext } from './command-context.js'
@@ -49,9 +50,24 @@
 
 /** The key alone goes to standard output, so that it can be piped; everything else goes to standard error. */
 async function runIssue ({ client, output }: CommandContext, path: string, body: Record<string, unknown>, { outputFile, dryRun }: IssueOptions): Promise<void> {
+  const file = outputFile === undefined || dryRun ? undefined : createKeyFile(outputFile)
   const { key, ...described } = await client.call<IssuedKey>({ method: 'POST', path, body, query: { dryRun: dryRun ? 'true' : undefined } })
+    .catch((error: unknown) => {
+      if (file !== undefined) unlinkSync(file)
+      throw error
+    })
   console.error(output === 'json' ? JSON.stringify(described) : `key ${described.name}, version ${described.version}${dryRun ? ' (dry run)' : ''}`)
   if (key === undefined) return
-  if (outputFile === undefined) console.log(key)
-  else writeFileSync(outputFile, `${key}\n`, { mode: OWNER_ONLY, flag: 'wx' })
+  if (file === undefined) console.log(key)
+  else writeFileSync(file, `${key}\n`)
+}
+
+/** Creates the file before the key is issued: a key that cannot be written afterwards is valid and known to nobody. */
+function createKeyFile (file: string): string {
+  try {
+    writeFileSync(file, '', { mode: OWNER_ONLY, flag: 'wx' })
+    return file
+  } catch (cause) {
+    throw new CommandFailure('usage', `File ${file} cannot be created: ${String((cause as Error).message)}.`, 'Not run. Remove the file or name another one.')
+  }
 }
--- a/packages/control/test/administration.test.ts
+++ b/packages/control/test/administration.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { execFile } from 'node:child_process'
-import { writeFileSync } from 'node:fs'
+import { existsSync, readFileSync, statSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { after, before, describe, it } from 'node:test'
 import { promisify } from 'node:util'
@@ -116,6 +116,29 @@
     assert.deepEqual(difference.body.differences, [])
   })
 
+  // Guards against a key that is issued and then lost because its file cannot be created: it would be valid and known to nobody.
+  it('issues no key when the output file exists, and leaves no file when the key is refused', async () => {
+    const credentialFile = join(fleet.directory, 'key-credential')
+    const keyFile = join(fleet.directory, 'issued-key')
+    writeFileSync(credentialFile, 'root:secret')
+    writeFileSync(keyFile, 'former key')
+    const issue = async (organisation: string, file: string) => await promisify(execFile)(process.execPath, [
+      'packages/cli/bin/tanagerusherctl.js', '--server', `http://127.0.0.1:${control.administrationPort}`, '--credential-file', credentialFile,
+      'key', 'issue', organisation, '--output-file', file
+    ]).then(() => 0, ({ code }: { code: number }) => code)
+    const listKeys = async () => (await fleet.store.list(['key'])).objects.map(({ name }) => name)
+    const before = await listKeys()
+    assert.equal(await issue('o1', keyFile), 2)
+    assert.deepEqual(await listKeys(), before)
+    assert.equal(readFileSync(keyFile, 'utf8'), 'former key')
+    const newFile = join(fleet.directory, 'new-key')
+    assert.equal(await issue('nobody', newFile), 5)
+    assert.equal(existsSync(newFile), false)
+    assert.equal(await issue('o1', newFile), 0)
+    assert.match(readFileSync(newFile, 'utf8'), /^[\w-]{43}\n$/)
+    assert.equal(statSync(newFile).mode & 0o777, 0o600)
+  })
+
   it('serves tanagerusherctl: apply, diff, key through a pipe, promote, status and exit codes', async () => {
     const credentialFile = join(fleet.directory, 'credential')
     const file = join(fleet.directory, 'apply.json')
