--- a/packages/pool/src/control/control-link.ts
+++ b/packages/pool/src/control/control-link.ts
@@ -4,6 +4,7 @@
 import { controlSubscribe } from '@tanagerusher/protocol/peer/control-subscribe'
 import { membershipUpdate } from '@tanagerusher/protocol/peer/membership-update'
 import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
+import { statusReport, type StatusReportParams } from '@tanagerusher/protocol/peer/status-report'
 import { openPeerConnection } from '@tanagerusher/transport/peer/open-peer-connection'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
 import type { ConnectionOptions } from 'node:tls'
@@ -28,6 +29,7 @@
 }
 
 const SUBSCRIBE_TIMEOUT_MS = 2000
+const REPORT_TIMEOUT_MS = 2000
 const RETRY_PAUSE_MS = 200
 /** Notifications come every second; a connection that is silent this long is given up. */
 const SILENCE_LIMIT_MS = 4000
@@ -52,6 +54,11 @@
     return link
   }
 
+  /** Reports are repeated, so a lost one does no harm. */
+  sendReport (report: StatusReportParams): void {
+    this.#connection?.request(statusReport, report, REPORT_TIMEOUT_MS).catch(() => {})
+  }
+
   close (): void {
     this.#isClosed = true
     this.#connection?.close()
--- a/packages/pool/src/database/database-task.ts
+++ b/packages/pool/src/database/database-task.ts
@@ -105,7 +105,9 @@
   get requestCount (): number { return this.#requests.size }
   get openTransactions (): number { return this.#pinned.size }
   get connectionCount (): number { return this.#connections.size }
-  get isBusy (): boolean { return this.#requests.size > 0 || this.#pinned.size > 0 }
+  /** Requests and transactions that have not ended; a request inside a transaction counts as well. */
+  get workCount (): number { return this.#requests.size + this.#pinned.size }
+  get isBusy (): boolean { return this.workCount > 0 }
 
   /** Opens the warm connections. */
   warm (): void {
--- a/packages/pool/src/process/pool-process.ts
+++ b/packages/pool/src/process/pool-process.ts
@@ -27,6 +27,7 @@
 }
 
 const MAINTENANCE_MS = 1000
+const REPORT_INTERVAL_MS = 1000
 const DRAIN_POLL_MS = 10
 
 /** The pool process: peer server, link to control, and the tasks of groups and databases. */
@@ -112,6 +113,7 @@
     })
     this.#timers.push(
       setInterval(() => { this.#registry.closeUnused() }, MAINTENANCE_MS),
+      setInterval(() => { this.#report() }, REPORT_INTERVAL_MS),
       setInterval(() => { for (const task of this.#registry.groups) this.#sender.schedule(task) }, this.#sender.refreshMs)
     )
     const { metricsPort } = this.#settings
@@ -134,6 +136,18 @@
     this.#entries.add(entry)
   }
 
+  /** Tells control how much still runs. A process that does not report counts as busy in a graceful shutdown of the host. */
+  #report (): void {
+    const databases = [...this.#registry.databases]
+    this.#link.sendReport({
+      role: 'pool',
+      configurationVersion: this.#configuration.version,
+      remaining: databases.reduce((sum, { workCount }) => sum + workCount, 0),
+      figures: { databases: databases.length, connections: databases.reduce((sum, { connectionCount }) => sum + connectionCount, 0) },
+      organisations: {}
+    })
+  }
+
   #isReady (): boolean {
     return !this.#isStopping && this.#configuration.computeAgeMs(this.#clock.readTime()) <= this.#settings.staleConfigurationMs
   }
--- a/packages/pool/test/process/pool-process.test.ts
+++ b/packages/pool/test/process/pool-process.test.ts
@@ -60,6 +60,17 @@
     assert.deepEqual(readValues((await waiting).frames).rows, [])
   })
 
+  // Guards against a graceful shutdown of the host that waits its full time limit, since a pool that does not report counts
+  // as busy, and against one that ends while a transaction is open.
+  it('reports its remaining work to control: an open transaction, then none', async () => {
+    await scene.execute({ sql: 'BEGIN', transaction: 'begin' })
+    const begun = scene.control.reports.length
+    await scene.waitUntil(() => scene.control.reports.slice(begun).some(({ role, remaining }) => role === 'pool' && remaining === 1))
+    await scene.execute({ sql: 'COMMIT', ...continued })
+    const ended = scene.control.reports.length
+    await scene.waitUntil(() => scene.control.reports.slice(ended).some(({ remaining }) => remaining === 0))
+  })
+
   it('ends an idle transaction after its limit', async () => {
     const entry = { owner: null, group: 'ledger', class: 'interactive', repeatable: false, readsOnReplicas: true, statementDeadlineMs: 1000, idleTransactionTimeoutMs: 50, maximumQueued: 10 } as const
     await scene.execute({ sql: 'BEGIN', transaction: 'begin', entry })
