Count reads by target; make waiting for tokens linear and fair to a busy process

Each new waiter went through the whole queue, and a wait could end while control's answer was still unread.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -157,6 +157,7 @@
       selector: ReplicaSelector.create(settings),
       retryPolicy: RetryPolicy.create({ ...RETRY_SETTINGS, seed: randomBytes(4).readInt32BE(0) }),
       tracing: this.#tracing,
+      metrics: this.#metrics,
       windowBytes: settings.windowBytes,
       answerGraceMs: settings.answerGraceMs
     })
--- a/packages/entry/src/metrics/entry-metrics.ts
+++ b/packages/entry/src/metrics/entry-metrics.ts
@@ -16,12 +16,18 @@
     name: 'tanagerusher_entry_log_ins_total', help: 'Log-ins by result', labelNames: ['result'], registers: [this.registry]
   })
 
+  readonly #reads = new Counter({
+    name: 'tanagerusher_entry_reads_total', help: 'Answered reads by the kind of database that served them', labelNames: ['target'], registers: [this.registry]
+  })
+
   readonly #sessions = new Gauge({
     name: 'tanagerusher_entry_sessions', help: 'Callers that are logged in', registers: [this.registry]
   })
 
   // The hot path counts in a field; the registry reads it when it is asked.
   #answered = 0
+  #readsAtReplicas = 0
+  #readsAtPrimaries = 0
   #answeredTotal = 0
   #failed = 0
   readonly #answeredByOrganisation = new Map<string, number>()
@@ -34,6 +40,20 @@
       this.#answeredTotal += answered
       return answered
     }
+    const reads = this.#reads
+    const takeReads = (): [replica: number, primary: number] => {
+      const taken: [number, number] = [this.#readsAtReplicas, this.#readsAtPrimaries]
+      this.#readsAtReplicas = 0
+      this.#readsAtPrimaries = 0
+      return taken
+    }
+    Object.assign(reads, {
+      collect: () => {
+        const [replica, primary] = takeReads()
+        reads.inc({ target: 'replica' }, replica)
+        reads.inc({ target: 'primary' }, primary)
+      }
+    })
     Object.assign(requests, { collect: () => { requests.inc({ outcome: 'answered' }, takeAnswered()) } })
   }
 
@@ -55,6 +75,11 @@
     this.#answeredByOrganisation.set(organisation, (this.#answeredByOrganisation.get(organisation) ?? 0) + 1)
   }
 
+  recordRead (isAtReplica: boolean): void {
+    if (isAtReplica) this.#readsAtReplicas++
+    else this.#readsAtPrimaries++
+  }
+
   recordFailure (kind: string): void {
     this.#failed++
     this.#requests.inc({ outcome: kind })
--- a/packages/entry/src/rate/rate-gate.ts
+++ b/packages/entry/src/rate/rate-gate.ts
@@ -17,11 +17,19 @@
 interface Waiter {
   /** Tokens that it still lacks. */
   missing: number
+  since: number
   deadline: number
   resolve: () => void
   reject: (error: unknown) => void
 }
 
+/** Waiters of one organisation in the order of their arrival, which is that of their deadlines. */
+interface Queue {
+  waiters: Waiter[]
+  /** Tokens that they lack together. */
+  missing: number
+}
+
 // Interval at which grants are renewed while there is traffic; tokens are held for much longer than this.
 const TICK_MS = 10
 const LONGEST_TICK_MS = 500
@@ -30,7 +38,9 @@
 export class RateGate {
   readonly #options: CreateOptions
   readonly #holder = GrantHolder.create()
-  readonly #queues = new Map<string, Waiter[]>()
+  readonly #queues = new Map<string, Queue>()
+  /** When control last answered for an organisation. */
+  readonly #answeredAt = new Map<string, number>()
   #timer: NodeJS.Timeout | undefined
   #tickAt = Number.POSITIVE_INFINITY
   #isClosed = false
@@ -59,11 +69,10 @@
   async wait (organisation: string, missing: number): Promise<void> {
     const now = this.#options.clock.readTime()
     await new Promise<void>((resolve, reject) => {
-      const waiter = { missing, deadline: now + this.#options.grantWaitMs, resolve, reject }
-      const queue = this.#queues.get(organisation)
-      if (queue === undefined) this.#queues.set(organisation, [waiter])
-      else queue.push(waiter)
-      this.#run()
+      const waiter = { missing, since: now, deadline: now + this.#options.grantWaitMs, resolve, reject }
+      this.#addWaiter(organisation, waiter)
+      this.#holder.updateWaiting(organisation, this.#queues.get(organisation)?.missing ?? 0, now)
+      this.#listEffects(now)
     })
   }
 
@@ -72,7 +81,7 @@
     this.#isClosed = true
     clearTimeout(this.#timer)
     for (const queue of this.#queues.values()) {
-      for (const waiter of queue) waiter.reject(TanagerusherError.create('shutting-down'))
+      for (const waiter of queue.waiters) waiter.reject(TanagerusherError.create('shutting-down'))
     }
     this.#queues.clear()
     await Promise.allSettled(this.#holder.close(this.#options.clock.readTime()).map(async (effect) => { await this.#carryOut(effect) }))
@@ -82,37 +91,54 @@
     if (this.#isClosed) return
     const now = this.#options.clock.readTime()
     for (const [organisation, queue] of this.#queues) this.#serve(organisation, queue, now)
+    this.#listEffects(now)
+  }
+
+  #listEffects (now: number): void {
     for (const effect of this.#holder.listEffects(now)) void this.#carryOut(effect)
     const next = this.#holder.findNextDeadline()
     if (next !== undefined || this.#queues.size > 0) this.#schedule(this.#queues.size > 0 ? TICK_MS : Math.min(LONGEST_TICK_MS, (next ?? now) - now), now)
   }
 
-  /** Admits waiters in order and rejects those whose time is over. */
-  #serve (organisation: string, queue: Waiter[], now: number): void {
-    let waiting = 0
+  #addWaiter (organisation: string, waiter: Waiter): void {
+    const queue = this.#queues.get(organisation)
+    if (queue === undefined) this.#queues.set(organisation, { waiters: [waiter], missing: waiter.missing })
+    else {
+      queue.waiters.push(waiter)
+      queue.missing += waiter.missing
+    }
+  }
+
+  /** Admits waiters in order and rejects those whose time is over, up to the first that has to wait on. */
+  #serve (organisation: string, queue: Queue, now: number): void {
     let served = 0
-    for (const waiter of queue) {
-      if (waiting === 0) this.#fill(organisation, waiter, now)
+    for (const waiter of queue.waiters) {
+      const before = waiter.missing
+      this.#fill(organisation, waiter, now)
+      queue.missing -= before - waiter.missing
       if (waiter.missing === 0) waiter.resolve()
-      else if (waiter.deadline <= now) waiter.reject(this.#createRejection(organisation))
-      else {
-        waiting += waiter.missing
-        continue
-      }
+      else if (this.#isOver(organisation, waiter, now)) {
+        queue.missing -= waiter.missing
+        waiter.reject(this.#createRejection(organisation))
+      } else break
       served++
     }
-    if (served > 0) this.#removeServed(organisation, queue, now)
-    this.#holder.updateWaiting(organisation, waiting, now)
+    if (served > 0) queue.waiters.splice(0, served)
+    if (queue.waiters.length === 0) this.#queues.delete(organisation)
+    this.#holder.updateWaiting(organisation, queue.missing, now)
   }
 
   #fill (organisation: string, waiter: Waiter, now: number): void {
     while (waiter.missing > 0 && this.#holder.retryTake(organisation, now)) waiter.missing--
   }
 
-  #removeServed (organisation: string, queue: Waiter[], now: number): void {
-    const rest = queue.filter(({ missing, deadline }) => missing > 0 && deadline > now)
-    if (rest.length === 0) this.#queues.delete(organisation)
-    else this.#queues.set(organisation, rest)
+  /**
+   * The wait is over only when control has answered since it began: in a busy process the answer may be late although
+   * there are tokens. Without an answer it is over after twice the time.
+   */
+  #isOver (organisation: string, { since, deadline }: Waiter, now: number): boolean {
+    if (deadline > now) return false
+    return (this.#answeredAt.get(organisation) ?? 0) > since || now >= deadline + this.#options.grantWaitMs
   }
 
   #createRejection (organisation: string): TanagerusherError {
@@ -129,7 +155,9 @@
     const { requestId, wanted, demandPerSecond, closed } = effect
     try {
       const answer = await source.requestBudget({ organisation, wanted, demandPerSecond, closed })
-      this.#holder.handleAnswer(organisation, requestId, answer, clock.readTime())
+      const now = clock.readTime()
+      this.#holder.handleAnswer(organisation, requestId, answer, now)
+      this.#answeredAt.set(organisation, now)
     } catch {
       this.#holder.handleFailure(organisation, requestId, clock.readTime())
     }
@@ -144,7 +172,8 @@
     this.#tickAt = tickAt
     this.#timer = setTimeout(() => {
       this.#tickAt = Number.POSITIVE_INFINITY
-      this.#run()
+      // When the process was busy, an answer may be waiting to be read: it comes before anything is rejected.
+      setImmediate(() => { this.#run() })
     }, Math.max(1, delayMs))
   }
 }
--- a/packages/entry/src/routing/request-router.ts
+++ b/packages/entry/src/routing/request-router.ts
@@ -10,6 +10,7 @@
 import type { Database } from '@tanagerusher/state/configuration/database'
 import type { Position } from '@tanagerusher/state/position/position'
 import type { ConfigurationView } from '../link/configuration-view.js'
+import type { EntryMetrics } from '../metrics/entry-metrics.js'
 import type { FloorProbes } from './floor-probes.js'
 import type { GroupTable } from './group-table.js'
 import type { PoolDirectory } from './pool-directory.js'
@@ -27,6 +28,7 @@
   selector: ReplicaSelector
   retryPolicy: RetryPolicy
   tracing: Tracing
+  metrics: EntryMetrics
   windowBytes: number
   /** Wait for an answer beyond the deadline that the pool enforces. */
   answerGraceMs: number
@@ -93,6 +95,7 @@
     }
     if (result.transactionStatus !== 'I') session.pin = { link, database: target.database.name, access: target.access }
     this.#raiseFloor(request, result)
+    if (target.access === 'read') this.#options.metrics.recordRead(request.isAtReplica)
     return result
   }
 
