--- a/packages/pool/src/database/connection-set.ts
+++ b/packages/pool/src/database/connection-set.ts
@@ -11,7 +11,6 @@
   slots: number
   clock: Clock
   logger: Logger
-  countWaiting: () => number
   /** A connection has become idle. */
   handleIdle: () => void
   handleClosed: (connection: PooledConnection) => void
@@ -42,6 +41,7 @@
   }
 
   get idle (): number { return this.#idle.length }
+  get isClosed (): boolean { return this.#isClosed }
   get size (): number { return this.#all.size }
 
   [Symbol.iterator] (): IterableIterator<PooledConnection> {
@@ -57,7 +57,7 @@
 
   putBack (connection: PooledConnection): void {
     if (!this.#all.has(connection)) return
-    if (this.#isClosed || this.#budget.isSurplus({ ...this.#count(), waiting: 0 })) {
+    if (this.#isClosed || this.#budget.isSurplus(this.#count())) {
       this.#all.delete(connection)
       connection.upstream.close()
       return
@@ -95,13 +95,12 @@
     for (const connection of this.#all) connection.destroy()
   }
 
-  #count (): { busy: number, idle: number, opening: number, closing: number, waiting: number } {
+  #count (): { busy: number, idle: number, opening: number, closing: number } {
     return {
       busy: this.#all.size - this.#idle.length,
       idle: this.#idle.length,
       opening: this.#opening,
-      closing: this.#closing,
-      waiting: this.#options.countWaiting()
+      closing: this.#closing
     }
   }
 
--- a/packages/pool/src/database/database-task.ts
+++ b/packages/pool/src/database/database-task.ts
@@ -15,6 +15,7 @@
 import type { PoolMetrics } from '../process/pool-metrics.js'
 import type { ActiveRequest } from './active-request.js'
 import { ConnectionSet } from './connection-set.js'
+import { isSamePrimary } from './is-same-primary.js'
 import { isTransactionEnd } from './is-transaction-end.js'
 import { mayLeaveState } from './may-leave-state.js'
 import type { PooledConnection } from './pooled-connection.js'
@@ -81,7 +82,6 @@
       slots: database.slots,
       clock,
       logger,
-      countWaiting: () => this.#scheduler.waiting,
       handleIdle: () => { this.#dispatch() },
       handleClosed: (connection) => { this.#handleClosed(connection) },
       handleUnreachable: (reason) => { this.#refuseWaiting(reason) }
@@ -240,6 +240,7 @@
   /** The pool reads the replica's position itself; what the entry knows may be old. */
   async #checkFreshness ({ floor, maximumAgeMs }: ExecuteParams): Promise<void> {
     const { group, catchUpWaitMs } = this.#options
+    if (group.isSilent(this.name)) throw this.#createError('unavailable', 'the database is silent')
     const wanted = floor ?? { term: 0, position: 0 }
     if (!await group.waitForPosition(this.name, wanted, catchUpWaitMs)) throw this.#createError('unavailable', 'the database is behind the floor')
     if (floor !== null || maximumAgeMs === undefined) return
@@ -406,6 +407,10 @@
     if (isRead) this.#checkReadStatus(params, status.log.term, termBefore, isFloorSatisfied(status.log, params.floor ?? status.log))
     if (outcome.error !== undefined && outcome.isRejected) return { ...result, position: null }
     const isRolledBack = outcome.tags.at(-1) === 'ROLLBACK'
+    if (!isRead && !isSamePrimary(status, termBefore)) {
+      if (isRolledBack) return { ...result, position: null }
+      throw this.#createUnknown('the database lost its role during the work')
+    }
     try {
       const askedAt = this.#now()
       await this.#options.group.confirm(status.log, request.deadline)
@@ -476,14 +481,21 @@
       this.#requests.get(id)?.stopWaiting?.(this.#createError('overloaded', 'deadline passed in the queue'))
     }
     for (const request of this.#requests.values()) if (request.deadline <= now) this.#handleTimeout(request, now)
-    if (this.#isReplaced()) this.#endReplacedWrites()
+    this.#endHopeless(this.#isReplaced(), group.isSilent(this.name))
     for (const connection of [...this.#pinned.values()]) {
       if (connection.idleDeadline !== undefined && connection.idleDeadline <= now) this.#destroy(connection)
     }
-    if (this.#isLeaving && !this.isBusy && group.findPrimary()?.database !== this.name) this.#connections.close()
+    if (this.#isLeaving) this.#updateLeaving()
     if (this.#scheduler.waiting > 0) this.#dispatch()
   }
 
+  /** Closes what is left, unless the others are lost and this database is the primary again. */
+  #updateLeaving (): void {
+    const isPrimary = this.#options.group.findPrimary()?.database === this.name
+    if (isPrimary && this.#connections.isClosed) this.#connections.reopen()
+    else if (!isPrimary && !this.isBusy) this.#connections.close()
+  }
+
   /** Another database is the primary now. One that is cut off does not say so itself, so the group's view decides. */
   #isReplaced (): boolean {
     const primary = this.#options.group.findPrimary()
@@ -491,13 +503,17 @@
   }
 
   /**
-   * Ends writes that wait for or run at a database that lost its role, so that entries turn to the new primary at once.
-   * Without this they hold out until their deadline, because a database that is cut off never answers.
+   * Ends writes that wait for or run at a database that lost its role, and reads at one that is silent, so that entries
+   * turn to another database at once. Without this they hold out until their deadline, because a database that is cut off
+   * never answers. A write at a silent primary stays until it is known whether another one was promoted.
    */
-  #endReplacedWrites (): void {
+  #endHopeless (isReplaced: boolean, isSilent: boolean): void {
+    if (!isReplaced && !isSilent) return
     for (const [requestId, request] of this.#requests) {
-      if (request.params.access !== 'write') continue
-      if (this.#scheduler.remove(requestId)) request.stopWaiting?.(this.#createError('unavailable', 'the database is not the primary any more'))
+      const isWrite = request.params.access === 'write'
+      if (isWrite ? !isReplaced : !isSilent) continue
+      const reason = isWrite ? 'the database is not the primary any more' : 'the database is silent'
+      if (this.#scheduler.remove(requestId)) request.stopWaiting?.(this.#createError('unavailable', reason))
       else if (this.#pending.findPhase(requestId) === 'sent' && request.connection !== undefined) this.#destroy(request.connection)
     }
   }
