Reject for the rate only when tokens are short

In a busy process the answer of control may come after the wait although the organisation is within its rate.

--- a/packages/entry/src/rate/rate-gate.ts
+++ b/packages/entry/src/rate/rate-gate.ts
@@ -17,7 +17,6 @@
 interface Waiter {
   /** Tokens that it still lacks. */
   missing: number
-  since: number
   deadline: number
   resolve: () => void
   reject: (error: unknown) => void
@@ -39,8 +38,8 @@
   readonly #options: CreateOptions
   readonly #holder = GrantHolder.create()
   readonly #queues = new Map<string, Queue>()
-  /** When control last answered for an organisation. */
-  readonly #answeredAt = new Map<string, number>()
+  /** Organisations that got less than they asked for the last time. */
+  readonly #short = new Set<string>()
   #timer: NodeJS.Timeout | undefined
   #tickAt = Number.POSITIVE_INFINITY
   #isClosed = false
@@ -63,13 +62,13 @@
   }
 
   /**
-   * Waits in order for tokens, at most `grantWaitMs`. Tokens of a request that gives up are lost, never spent twice.
+   * Waits in order for tokens; see `#isOver`. Tokens of a request that gives up are lost, never spent twice.
    * @throws TanagerusherError `rate-exceeded`
    */
   async wait (organisation: string, missing: number): Promise<void> {
     const now = this.#options.clock.readTime()
     await new Promise<void>((resolve, reject) => {
-      const waiter = { missing, since: now, deadline: now + this.#options.grantWaitMs, resolve, reject }
+      const waiter = { missing, deadline: now + this.#options.grantWaitMs, resolve, reject }
       this.#addWaiter(organisation, waiter)
       this.#holder.updateWaiting(organisation, this.#queues.get(organisation)?.missing ?? 0, now)
       this.#listEffects(now)
@@ -133,12 +132,11 @@
   }
 
   /**
-   * The wait is over only when control has answered since it began: in a busy process the answer may be late although
-   * there are tokens. Without an answer it is over after twice the time.
+   * Over after `grantWaitMs` when tokens are short. When control gave all that was asked for, or has not answered, the
+   * delay is that of a busy process or of control, and the wait is over after twice the time.
    */
-  #isOver (organisation: string, { since, deadline }: Waiter, now: number): boolean {
-    if (deadline > now) return false
-    return (this.#answeredAt.get(organisation) ?? 0) > since || now >= deadline + this.#options.grantWaitMs
+  #isOver (organisation: string, { deadline }: Waiter, now: number): boolean {
+    return deadline <= now && (this.#short.has(organisation) || now >= deadline + this.#options.grantWaitMs)
   }
 
   #createRejection (organisation: string): TanagerusherError {
@@ -155,9 +153,9 @@
     const { requestId, wanted, demandPerSecond, closed } = effect
     try {
       const answer = await source.requestBudget({ organisation, wanted, demandPerSecond, closed })
-      const now = clock.readTime()
-      this.#holder.handleAnswer(organisation, requestId, answer, now)
-      this.#answeredAt.set(organisation, now)
+      this.#holder.handleAnswer(organisation, requestId, answer, clock.readTime())
+      if (answer.tokens < wanted) this.#short.add(organisation)
+      else this.#short.delete(organisation)
     } catch {
       this.#holder.handleFailure(organisation, requestId, clock.readTime())
     }
--- a/packages/entry/test/faults.test.ts
+++ b/packages/entry/test/faults.test.ts
@@ -165,6 +165,19 @@
     await waitFor(() => fleet.pool.released.length === 1)
   })
 
+  // Guards against a rejection for the rate when only the answer of control is late.
+  it('waits longer for a late answer than for tokens that are short', async () => {
+    fleet = await TestFleet.open({ settings: { grantWaitMs: 1000 } })
+    const client = await fleet.connect()
+    let answer = (): void => {}
+    fleet.control.beforeAnswer = async () => { await new Promise<void>((resolve) => { answer = resolve }) }
+    const waiting = client.query('INSERT INTO fees VALUES (1)')
+    await waitFor(() => fleet.control.requests.length === 1)
+    fleet.clock.advance(1500)
+    answer()
+    await waiting
+  })
+
   // Guards against tokens that stay out of use when a host goes away.
   it('returns unspent tokens and ends sessions with 57P01 on a graceful shutdown, after their transactions', async () => {
     fleet = await TestFleet.open({ settings: { drainTimeoutMs: 10_000 } })
