Find a silent control within the freshness limit; handle waits that were aborted before they began

A wait that began after its request was aborted left a promise without a handler, whose failure would end the process. A control that hangs is left after 3 s instead of up to 9 s.

--- a/packages/entry/src/link/control-link.ts
+++ b/packages/entry/src/link/control-link.ts
@@ -43,8 +43,10 @@
 const REPORT_TIMEOUT_MS = 2000
 // Another host's control is left for the own one soon after that is back.
 const OWN_CONTROL_CHECK_MS = 5000
-// Control sends membership every second; a connection silent for longer leads nowhere.
-const SILENCE_LIMIT_MS = 4000
+const CHECK_MS = 1000
+// Control sends membership every second; a connection silent for longer leads nowhere. Finding another control must
+// leave time before the configuration counts as stale.
+const SILENCE_LIMIT_MS = 3000
 
 /** Subscription at a control process: the own host's, else any other's. Owns the connection and its timer. */
 export class ControlLink {
@@ -55,6 +57,7 @@
   #lastMessageAt = 0
   #members: FleetMember[] = []
   #next = 0
+  #ownCheckedAt = 0
   #timer: NodeJS.Timeout | undefined
   #isClosed = false
 
@@ -155,7 +158,8 @@
     if (result.configuration !== null) this.#handleConfiguration(connection, result.configuration)
     this.#handleMembership({ members: result.members, confirmedAgeMs: result.confirmedAgeMs, leaving: false })
     void connection.closed.then(() => { this.#handleClosed(connection) })
-    this.#schedule(() => { this.#checkConnection() }, OWN_CONTROL_CHECK_MS)
+    this.#ownCheckedAt = this.#options.clock.readTime()
+    this.#schedule(() => { this.#checkConnection() }, CHECK_MS)
   }
 
   #addHandlers (connection: PeerConnection): void {
@@ -186,11 +190,9 @@
 
   #checkConnection (): void {
     if (this.#connection === undefined || this.#isClosed) return
-    if (this.#options.clock.readTime() - this.#lastMessageAt > SILENCE_LIMIT_MS) {
-      this.#connection.destroy()
-      return
-    }
-    if (this.#isOwn) this.#schedule(() => { this.#checkConnection() }, OWN_CONTROL_CHECK_MS)
+    const now = this.#options.clock.readTime()
+    if (now - this.#lastMessageAt > SILENCE_LIMIT_MS) this.#connection.destroy()
+    else if (this.#isOwn || now - this.#ownCheckedAt < OWN_CONTROL_CHECK_MS) this.#schedule(() => { this.#checkConnection() }, CHECK_MS)
     else void this.#returnToOwn()
   }
 
@@ -198,7 +200,8 @@
     try {
       await this.#subscribe(this.#options.controls[0] as Address, true)
     } catch {
-      this.#schedule(() => { this.#checkConnection() }, OWN_CONTROL_CHECK_MS)
+      this.#ownCheckedAt = this.#options.clock.readTime()
+      this.#schedule(() => { this.#checkConnection() }, CHECK_MS)
     }
   }
 
--- a/packages/entry/src/routing/running-request.ts
+++ b/packages/entry/src/routing/running-request.ts
@@ -109,7 +109,12 @@
 
   /** Waits for something of the entry's own. `abort` ends the wait and calls `leave`. */
   async wait<Value> (promise: Promise<Value>, leave: () => void = () => {}): Promise<Value> {
-    this.checkAborted()
+    if (this.#abortError !== undefined) {
+      leave()
+      // Nobody waits for it any more, and its failure must not end the process.
+      promise.catch(() => {})
+      throw this.#abortError
+    }
     const aborted = new Promise<never>((resolve, reject) => {
       this.#abortWait = (error) => {
         leave()
--- a/packages/entry/test/sessions.test.ts
+++ b/packages/entry/test/sessions.test.ts
@@ -248,6 +248,28 @@
     assert.equal((await caller.readTypes(1)).match(/D/g)?.length, total + 1)
   })
 
+  // Guards against slots held for a caller that takes nothing of its result.
+  it('drops a caller that takes no bytes for too long and cancels its request', async () => {
+    fleet = await TestFleet.open()
+    const row = Buffer.concat([Buffer.from([0x44, 0, 1, 0, 3, 0]), Buffer.alloc(65_534)])
+    let sent = 0
+    fleet.pool.handle = async (params, connection) => {
+      for (; sent < 300; sent++) {
+        fleet.pool.sendChunk(connection, params.requestId, sent, row)
+        await new Promise((resolve) => { setTimeout(resolve, 1) })
+      }
+      return await new Promise(() => {})
+    }
+    const caller = RawCaller.create(await fleet.connect())
+    caller.socket.pause()
+    caller.send(['Q', 'SELECT 1\0'])
+    await waitForRest(() => sent)
+    fleet.clock.advance(61_000)
+    await waitFor(() => fleet.pool.cancelled.length === 1)
+    assert.deepEqual(fleet.pool.cancelled, [fleet.pool.executed[0]?.requestId])
+    caller.socket.destroy()
+  })
+
   // Guards against input that piles up in the entry while a request runs.
   it('stops reading from a caller that sends far ahead of its answers', async () => {
     fleet = await TestFleet.open({ settings: { limits: { maximumPipelinedBytes: 64 * 1024 } } })
