Keep a larger former share until nobody can use what is given up

Cause: a host that joined or left cost 1/N of every rate for 10 s or more, since others shrank at once.

--- a/packages/coordination/src/budget/share-table.ts
+++ b/packages/coordination/src/budget/share-table.ts
@@ -16,6 +16,11 @@
   sentAt: number
 }
 
+/** Part of the growth wait for which a larger former share is used on; the rest covers clocks that run apart. */
+const FORMER_PART = 0.9
+/** A delegation for a shorter time is of little use; the smaller share is better then. */
+const FORMER_MINIMUM_MS = 2000
+
 /**
  * The own share of every organisation's rate and burst: 1/N according to the `share-table` object.
  *
@@ -32,6 +37,8 @@
   #value: ShareTableValue | undefined
   /** Fraction that may be used before the growth wait is over. */
   #floorFraction = 0
+  /** Share of the table before: nobody uses what this host has to give up until the growth wait is over. */
+  #former = { fraction: 0, until: -Infinity }
   #observedAt = 0
   #activeAt: number | undefined
   readonly #knowing = new Set<string>()
@@ -56,6 +63,7 @@
   apply (version: number, value: ShareTableValue, now: number): void {
     if (version <= this.#version) return
     const usable = this.#readFraction(now)
+    const confirmedAt = this.#findConfirmation(now)
     const heldPrevious = this.#value?.generation === value.generation - 1
     this.#version = version
     this.#value = value
@@ -63,6 +71,7 @@
     this.#activeAt = undefined
     this.#knowing.clear()
     this.#floorFraction = heldPrevious ? Math.min(usable, this.#findFraction()) : 0
+    this.#former = { fraction: usable, until: confirmedAt + this.#growthWaitMs * FORMER_PART }
     this.#recordKnowing(this.#self, now)
     if (value.previousHosts.length === 0) this.#activeAt = value.generation === 1 ? now - this.#growthWaitMs : now
   }
@@ -86,8 +95,10 @@
 
   /** Fraction of every rate and burst that this host may delegate, and for how long it stays its own. */
   readShare (now: number): { fraction: number, validMs: number } {
-    const validMs = Math.max(this.#storeConfirmedAt, this.#findMajorityConfirmation(now)) + this.#shareValidMs - now
+    const validMs = this.#findConfirmation(now) + this.#shareValidMs - now
     const fraction = this.#readFraction(now)
+    const formerMs = this.#former.until - now
+    if (this.#former.fraction > fraction && formerMs >= FORMER_MINIMUM_MS && validMs > 0) return { fraction: this.#former.fraction, validMs: Math.min(validMs, formerMs) }
     return validMs > 0 && fraction > 0 ? { fraction, validMs } : { fraction: 0, validMs: 0 }
   }
 
@@ -147,6 +158,10 @@
     if (this.#knowing.size * 2 > previous.length) this.#activeAt = now
   }
 
+  #findConfirmation (now: number): number {
+    return Math.max(this.#storeConfirmedAt, this.#findMajorityConfirmation(now))
+  }
+
   /** The k-th newest answer, k being a majority of the table; the own row counts as confirmed now. */
   #findMajorityConfirmation (now: number): number {
     const hosts = this.#value?.hosts ?? []
--- a/packages/coordination/test/budget/budget-modules.test.ts
+++ b/packages/coordination/test/budget/budget-modules.test.ts
@@ -123,6 +123,18 @@
     assert.equal(confirm(40_000), 1 / 2)
   })
 
+  // Guards against a larger share used while another host already uses the part that was given up, and against giving it
+  // up long before anybody can use it.
+  it('keeps a larger former share until 9 s after the last confirmation of the former table', () => {
+    const table = createTable()
+    table.recordStoreConfirmation(1000)
+    table.apply(2, { generation: 2, hosts: [...first.hosts, row('d')], previousHosts: first.hosts }, 1500)
+    table.recordStoreConfirmation(6000)
+    assert.deepEqual(table.readShare(6000), { fraction: 1 / 3, validMs: 4000 })
+    assert.deepEqual(table.readShare(8000), { fraction: 1 / 3, validMs: 2000 })
+    assert.deepEqual(table.readShare(8001), { fraction: 1 / 4, validMs: 2999 })
+  })
+
   // Guards against a restarted host that uses a share of its former incarnation.
   it('gives nothing to a host that held no share in the generation before', () => {
     const table = ShareTable.create({ self: row('a', 'a-2') })
