Do not wait for a pool that reports no remaining work

Cause: pools send no status.report, so a stop of the control waited drain.finishMs (15 s) for each pool that stays connected. No test of its own causes the wait.

--- a/packages/control/src/subscription/process-registry.ts
+++ b/packages/control/src/subscription/process-registry.ts
@@ -50,9 +50,9 @@
     return [...this.#subscribers.values()].filter(({ host }) => host === this.#options.host)
   }
 
-  /** Requests that still run at the own host's processes. */
+  /** Requests that still run at the own host's processes. An entry that has not reported may have some; a pool runs those of entries. */
   countRemaining (): number {
-    return this.listLocal().reduce((sum, { report }) => sum + (report?.remaining ?? 1), 0)
+    return this.listLocal().reduce((sum, { role, report }) => sum + (report?.remaining ?? (role === 'entry' ? 1 : 0)), 0)
   }
 
   sendConfiguration (): void {
