--- a/packages/coordination/test/budget/budget-promise.test.ts
+++ b/packages/coordination/test/budget/budget-promise.test.ts
@@ -75,6 +75,18 @@
     assert.equal(fleet.rejections.filter((at) => at >= SETTLED_MS).length, 0)
   })
 
+  // Guards against budgets that stay away when one host dies, is paused past its validity, or is cut off: only the home's
+  // loss may be felt, and only until its delegations have lapsed (5 s of simulated time leave room for the suspicion).
+  for (const type of ['crash', 'pause', 'cut-off'] as const) {
+    it(`admits what is within the rate again after the loss of any one host: ${type}`, () => {
+      const runs = [0, 1, 2, 3].map((host) => new BudgetFleet({
+        seed: SEED, hosts: 4, rate: RATE, burst: BURST, durationMs: 45_000, faults: [{ at: 12_000, type, host, durationMs: 8000 }], demand: (user) => user === (host + 1) % 4 ? 60 : 0, isReliable: true
+      }).run().rejections.filter((at) => at >= SETTLED_MS))
+      assert.ok(runs.filter((rejections) => rejections.length > 0).length <= 1, 'at most the home is felt')
+      assert.equal(runs.flat().filter((at) => at >= 17_000).length, 0)
+    })
+  }
+
   // Guards against shares that lapse with the store while all hosts are alive.
   it('admits what is within the rate during a long store outage', () => {
     const fleet = new BudgetFleet({
