Fill buckets from the first delegation on

Cause: a home opened an organisation's bucket, empty, at its first request, so the first burst of an idle organisation was refused although it was inside rate and burst. Before: 0 of 40 tokens granted after 10 s of held delegations at rate 100, burst 50.

--- a/packages/coordination/src/budget/budget-home.ts
+++ b/packages/coordination/src/budget/budget-home.ts
@@ -87,7 +87,7 @@
     if (known !== undefined) this.#advance(organisation, now)
     if (limits === undefined) this.#limits.delete(organisation)
     else this.#limits.set(organisation, { rate: limits.rate, burst: limits.burst })
-    if (known !== undefined) this.#advance(organisation, now)
+    if (known !== undefined || this.#delegations.has(computePartition(organisation))) this.#advance(organisation, now)
   }
 
   /** Records the answer of a host to this home's request for its share. Late answers to older requests are ignored. */
@@ -97,6 +97,7 @@
       if (sentAt <= (this.#releasedAt.get(partition) ?? -Infinity)) continue
       const held = this.#delegations.get(partition) ?? new Map<string, HeldDelegation>()
       this.#delegations.set(partition, held)
+      if (held.size === 0) this.#openAccounts(partition, now)
       const known = held.get(delegator)
       if (known !== undefined && known.sentAt >= sentAt) continue
       if (known === undefined || known.fraction !== fraction || known.usableUntil < now) this.#advancePartition(partition, now)
@@ -204,6 +205,11 @@
     return account
   }
 
+  /** Buckets fill from the first delegation on, so that the first burst of an organisation that was idle is inside its rate. */
+  #openAccounts (partition: number, now: number): void {
+    for (const [organisation] of this.#limits) if (computePartition(organisation) === partition) this.#advance(organisation, now)
+  }
+
   #openAccount (organisation: string, now: number): Account | undefined {
     if (!this.#limits.has(organisation)) return undefined
     const account: Account = { bucket: TokenBucket.create(), filledAt: now, outstanding: 0, grants: new Map(), demands: new Map() }
