Hand over to a wanted primary; confirm the term before a transaction reads

Cause: promote only set wantedPrimary, which no pool read. A transaction or a locking read of a session without a floor could read at a primary that was cut off with its pool, because work that writes nothing has a position that was committed before. Ruled out: refusing whenever the quorum watch is doubtful; it lags by 600 ms. Conclusion: one probe, shared by all that wait, for the first transaction of a session; sessions with a floor pay nothing.

--- a/packages/pool/src/database/database-task.ts
+++ b/packages/pool/src/database/database-task.ts
@@ -219,7 +219,10 @@
     this.#checkServing()
     const { params } = request
     if (params.access === 'read') await this.#checkFreshness(params)
-    else await this.#checkWritable()
+    else {
+      await this.#checkWritable()
+      if (params.transaction === 'begin') await this.#checkCurrent(request)
+    }
     const askedAt = this.#now()
     const connection = await this.#acquire(request)
     this.#options.metrics.recordWait(this.#now() - askedAt)
@@ -250,6 +253,27 @@
     if (ageMs === undefined || ageMs > maximumAgeMs) throw this.#createError('unavailable', 'the data is older than the entry accepts')
   }
 
+  /**
+   * A primary that was cut off may not know of its successor, and a transaction reads before anything is confirmed. A
+   * floor of its own term or a probe that a majority confirmed shows that it holds what the session wrote elsewhere.
+   */
+  async #checkCurrent ({ params, deadline }: ActiveRequest): Promise<void> {
+    const { group } = this.#options
+    const log = group.readStatus(this.name)?.log
+    if (params.floor !== null && log !== undefined && isFloorSatisfied(log, params.floor)) return
+    const current = await group.probe(Math.max(1, deadline - this.#now()))
+    if (current.term !== (group.readStatus(this.name)?.log.term ?? current.term)) throw this.#createError('unavailable', 'the database is not the current primary')
+  }
+
+  /** The work is done, so a failed check leaves its outcome unknown. */
+  async #checkAfterWork (request: ActiveRequest): Promise<void> {
+    try {
+      await this.#checkCurrent(request)
+    } catch {
+      throw this.#createUnknown('no majority confirmed the primary after the work')
+    }
+  }
+
   async #checkWritable (): Promise<void> {
     const { group } = this.#options
     if (!group.hasQuorum() && !await group.waitForQuorum(QUORUM_WAIT_MS)) throw this.#createError('unavailable', 'no majority of the group answers')
@@ -413,10 +437,13 @@
       if (isRolledBack) return { ...result, position: null }
       throw this.#createUnknown('the database lost its role during the work')
     }
+    // Work that wrote nothing leaves a position that was committed before, which does not show that the term is current.
+    const needsProbe = !isRead && params.transaction === 'none' && params.floor === null && this.#options.group.commits.isCommitted(status.log)
     try {
       const askedAt = this.#now()
       await this.#options.group.confirm(status.log, request.deadline)
       this.#options.metrics.recordConfirmation(this.#now() - askedAt)
+      if (needsProbe) await this.#checkAfterWork(request)
     } catch (error) {
       if (isRolledBack) return { ...result, position: null }
       throw isRead ? this.#createError('unavailable', 'what the read saw was not confirmed by a majority') : error
--- a/packages/pool/src/group/commit-waiters.ts
+++ b/packages/pool/src/group/commit-waiters.ts
@@ -34,6 +34,11 @@
     return this.#waiters.size
   }
 
+  /** Whether a majority is already known to hold `position`. */
+  isCommitted (position: Position): boolean {
+    return this.#tracker.isCommitted(position)
+  }
+
   /** Resolves when a majority holds `position`; rejects with `outcome-unknown`. */
   async wait (position: Position, deadline: number, now: number): Promise<void> {
     if (this.#tracker.isCommitted(position)) return
--- a/packages/pool/src/group/group-task.ts
+++ b/packages/pool/src/group/group-task.ts
@@ -4,6 +4,7 @@
 import { findQuorumSize } from '@tanagerusher/coordination/failover/find-quorum-size'
 import { GroupMonitor, type MonitorEvent } from '@tanagerusher/coordination/failover/group-monitor'
 import { isFloorSatisfied } from '@tanagerusher/coordination/session/is-floor-satisfied'
+import type { Database } from '@tanagerusher/state/configuration/database'
 import type { Group } from '@tanagerusher/state/configuration/group'
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import type { GroupStatus } from '@tanagerusher/state/group/group-status'
@@ -64,6 +65,8 @@
   readonly #timer: NodeJS.Timeout
   #group: Group
   #promotion: PromotionRunner | undefined
+  /** Wanted primary that was in office since it was wanted: a later failover is not undone. */
+  #reachedPrimary: string | undefined
   #positionWaiters: PositionWaiter[] = []
   /** Null: this host is no candidate, because it owns no database of the group. */
   #rank: number | null = null
@@ -88,7 +91,7 @@
       findDatabase: options.findOwnDatabase,
       readStatus: async (database) => await databases.readStatus(database),
       waitForPosition: async (database, position, timeoutMs) => await this.waitForPosition(database, position, timeoutMs),
-      promote: async (reason) => await new Promise((resolve) => { this.#promote(reason, undefined, resolve) })
+      promote: async (primary) => await new Promise((resolve) => { this.#promote(`planned change from ${primary}`, primary, resolve) })
     })
     this.#updateWatches()
     this.#timer = setInterval(() => { this.#tick() }, TICK_MS)
@@ -102,6 +105,7 @@
   get isCandidate (): boolean { return this.#rank !== null }
 
   updateGroup (group: Group): void {
+    if (group.wantedPrimary !== this.#group.wantedPrimary) this.#reachedPrimary = undefined
     this.#group = group
     this.#options.databases.update(group)
     const members = this.#listNames()
@@ -305,21 +309,28 @@
     this.#promotion.start(this.#monitor.highestTerm, reason)
   }
 
-  #checkLeavingPrimary (): void {
+  /** Hands over from a leaving primary, or to the primary that an operator wants. */
+  #checkPlannedChange (): void {
     const primary = this.findPrimary()?.database
-    const databases = this.#group.databases
-    if (primary === undefined || !databases.some(({ name, leaving }) => name === primary && leaving)) return
-    if (this.#options.findOwnDatabase(primary) === undefined) return
+    if (primary === undefined) return
+    const { databases, wantedPrimary } = this.#group
+    if (primary === wantedPrimary) this.#reachedPrimary = wantedPrimary
+    const isLeaving = databases.some(({ name, leaving }) => name === primary && leaving)
+    const wanted = wantedPrimary !== undefined && wantedPrimary !== this.#reachedPrimary ? wantedPrimary : undefined
+    if ((!isLeaving && wanted === undefined) || this.#options.findOwnDatabase(primary) === undefined) return
     const now = this.#now()
-    const successors = databases.filter(({ name, leaving }) => !leaving && this.#watches.get(name)?.isReachable(now, this.#options.suspectAfterMs))
-    this.#change.start(primary, successors.map(({ name }) => name))
+    const successors = databases
+      .filter(({ name, leaving }) => name !== primary && !leaving && this.#watches.get(name)?.isReachable(now, this.#options.suspectAfterMs))
+      .map(({ name }) => name)
+    if (isLeaving) this.#change.start(primary, successors)
+    else this.#change.start(primary, successors.filter((name) => name === wanted))
   }
 
-  /** Leaving databases last; otherwise the order of the configuration. */
+  /** The wanted primary first, leaving databases last; otherwise the order of the configuration. */
   #listByPreference (): string[] {
-    const staying = this.#group.databases.filter(({ leaving }) => !leaving)
-    const leaving = this.#group.databases.filter(({ leaving }) => leaving)
-    return [...staying, ...leaving].map(({ name }) => name)
+    const { databases, wantedPrimary } = this.#group
+    const rank = ({ name, leaving }: Database): number => leaving ? 2 : name === wantedPrimary ? 0 : 1
+    return [...databases].sort((left, right) => rank(left) - rank(right)).map(({ name }) => name)
   }
 
   #tick (): void {
@@ -327,7 +338,7 @@
     this.commits.handle({ type: 'tick' }, now)
     this.#probes.handle({ type: 'tick' })
     this.#handleMonitor({ type: 'tick' })
-    this.#checkLeavingPrimary()
+    this.#checkPlannedChange()
     const due = this.#positionWaiters.filter(({ deadline }) => deadline <= now)
     if (due.length > 0) this.#positionWaiters = this.#positionWaiters.filter(({ deadline }) => deadline > now)
     for (const waiter of due) waiter.resolve(false)
--- a/packages/pool/src/group/planned-change.ts
+++ b/packages/pool/src/group/planned-change.ts
@@ -18,8 +18,8 @@
   findDatabase: (database: string) => PausableDatabase | undefined
   readStatus: (database: string) => Promise<DatabaseStatus>
   waitForPosition: (database: string, position: Position, timeoutMs: number) => Promise<boolean>
-  /** Raises the term and promotes; resolves when the attempt has ended. */
-  promote: (reason: string) => Promise<boolean>
+  /** Raises the term and promotes another database than `primary`; resolves when the attempt has ended. */
+  promote: (primary: string) => Promise<boolean>
 }
 
 const FIRST_DRAIN_MS = 2000
@@ -71,7 +71,7 @@
       }
       const { log } = await readStatus(primary)
       if (!await this.#waitForOne(successors, log)) return false
-      return await promote(`${primary} is leaving`)
+      return await promote(primary)
     } finally {
       database?.resume()
     }
--- a/packages/pool/test/process/pool-failover.test.ts
+++ b/packages/pool/test/process/pool-failover.test.ts
@@ -74,6 +74,25 @@
     })
   })
 
+  it('hands over to the primary that an operator wants', async () => {
+    await run(async (scene) => {
+      await scene.execute({ sql: insert('w1') })
+      scene.control.updateGroup({ ...scene.group, wantedPrimary: 'c' })
+      await scene.waitUntil(() => scene.primary === 'c')
+      assert.equal(readValues((await scene.execute({ sql: find('w1') })).frames).rows.length, 1)
+    })
+  })
+
+  // Guards against a transaction that reads at a primary which was cut off and does not know of its successor.
+  it('begins no transaction and answers no locking read without a majority when the session has no floor', async () => {
+    await run(async (scene) => {
+      await scene.execute({ sql: insert('r1') })
+      await scene.setFaults({ databases: { b: { paused: true }, c: { paused: true } } })
+      await assert.rejects(scene.execute({ sql: 'BEGIN', transaction: 'begin', database: 'a', deadlineMs: 1500 }), { kind: 'unavailable' })
+      await assert.rejects(scene.execute({ sql: `${find('r1')} FOR UPDATE`, database: 'a', deadlineMs: 1500 }))
+    })
+  })
+
   // Guards against requests that wait for connections which a leaving database has closed for good.
   it('serves at a leaving database that becomes the primary because the others are lost', async () => {
     await run(async (scene) => {
