Let an organisation that was idle go ahead of its share by 100 ms of slot time

Cause: a short burst of a small organisation waited a full round of the others for each of its requests.

--- a/packages/coordination/src/fairness/fair-queue.ts
+++ b/packages/coordination/src/fairness/fair-queue.ts
@@ -39,6 +39,11 @@
 /** Share of the slot time that waiting requests of a class get although more urgent ones wait too. */
 const LOWER_CLASS_SHARE: Record<ServiceClass, number> = { critical: 0, interactive: 0.15, deferred: 0.05 }
 const INITIAL_COST_MS = 2
+/**
+ * Slot time by which an organisation that was idle may go ahead of its share: without it, a short burst of a small
+ * organisation waits a full round of the others for each request.
+ */
+const RESUME_CREDIT_MS = 100
 const COST_SMOOTHING = 0.1
 /** The estimate of a waiting time is rough; only a clear excess refuses a request that might still make it. */
 const ESTIMATE_TOLERANCE = 1.5
@@ -78,7 +83,7 @@
     const waiting = { ...request, enqueuedAt: now }
     const queue = flow.queues.get(request.serviceClass) ?? []
     flow.queues.set(request.serviceClass, queue)
-    if (flow.waiting === 0) flow.virtualStart = Math.max(flow.virtualStart, this.#virtualTime)
+    if (flow.waiting === 0) flow.virtualStart = Math.max(flow.virtualStart, this.#virtualTime - RESUME_CREDIT_MS)
     queue.push(waiting)
     this.#count(flow, request.serviceClass, 1)
     this.#byId.set(request.id, waiting)
