Raise the peer protocol version to 2 for shared keys

Cause: a FrameCodec of the earlier build decodes the first message with shared keys and fails on the next (trial: hello decoded, then "Data read, but end of buffer not reached 64"), so a first execute could run before the connection ends. Peers of version 1 are now refused at peer.hello.

--- a/packages/control/src/process/control-process.ts
+++ b/packages/control/src/process/control-process.ts
@@ -301,5 +301,5 @@
 }
 
 function createHello ({ host, incarnation, dataCentre, region }: FleetMember): PeerHello {
-  return { host, incarnation, dataCentre, region, role: 'control', protocolVersions: [1] }
+  return { host, incarnation, dataCentre, region, role: 'control', protocolVersions: [2] }
 }
--- a/packages/control/test/control-process.test.ts
+++ b/packages/control/test/control-process.test.ts
@@ -14,7 +14,7 @@
 interface FakeEntry { connection: PeerConnection, answer: ControlSubscribeResult, updates: ConfigurationUpdate[], memberships: MembershipUpdateParams[] }
 
 async function openEntry (control: ControlProcess, host: string): Promise<FakeEntry> {
-  const connection = await openPeerConnection({ host: '127.0.0.1', port: control.port, hello: { host, incarnation: `${host}-entry`, dataCentre: 'd1', region: 'r1', role: 'entry', protocolVersions: [1] } })
+  const connection = await openPeerConnection({ host: '127.0.0.1', port: control.port, hello: { host, incarnation: `${host}-entry`, dataCentre: 'd1', region: 'r1', role: 'entry', protocolVersions: [2] } })
   const updates: ConfigurationUpdate[] = []
   const memberships: MembershipUpdateParams[] = []
   connection.addNotification(configurationUpdateNotification, (update) => { updates.push(update) })
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -72,7 +72,7 @@
     this.#settings = settings
     this.#clock = clock
     this.#logger = logger ?? createLogger({ label: 'entry', level: settings.logLevel, fields: { host, dataCentre } })
-    this.#hello = { host, incarnation: randomBytes(8).toString('hex'), dataCentre, region, role: 'entry', protocolVersions: [1] }
+    this.#hello = { host, incarnation: randomBytes(8).toString('hex'), dataCentre, region, role: 'entry', protocolVersions: [2] }
     this.#tls = loadPeerTls(settings)
     this.#registry = SessionRegistry.create({ host })
     this.#tracing = Tracing.create({ settings: settings.trace, program: 'tanagerusher-entry', host, dataCentre })
--- a/packages/pool/src/process/pool-process.ts
+++ b/packages/pool/src/process/pool-process.ts
@@ -95,7 +95,7 @@
 
   async #open (): Promise<void> {
     const { host, dataCentre, region, address, port, control } = this.#settings
-    const hello: PeerHello = { host, incarnation: randomUUID(), dataCentre, region, role: 'pool', protocolVersions: [1] }
+    const hello: PeerHello = { host, incarnation: randomUUID(), dataCentre, region, role: 'pool', protocolVersions: [2] }
     const tls = this.#readTls()
     this.#server = await PeerServer.open({
       address, port, hello, ...(tls === undefined ? {} : { tls }), handleConnection: (connection) => { this.#accept(connection) }
--- a/packages/transport/src/peer/peer-connection.ts
+++ b/packages/transport/src/peer/peer-connection.ts
@@ -6,7 +6,8 @@
 import type { z } from 'zod'
 import { FrameCodec } from './frame-codec.js'
 
-const PROTOCOL_VERSION = 1
+/** Version 1 sent all keys in every message and cannot read shared keys. */
+const PROTOCOL_VERSION = 2
 const ERROR_CODE = -32000
 const SEND_BUFFER_LIMIT_BYTES = 8 * 1024 * 1024
 
--- a/packages/transport/test/peer-connection.test.ts
+++ b/packages/transport/test/peer-connection.test.ts
@@ -6,7 +6,7 @@
 import { openPeerConnection } from '../src/peer/open-peer-connection.js'
 import { PeerServer } from '../src/peer/peer-server.js'
 
-const hello: PeerHello = { host: 'h1', incarnation: 'i1', dataCentre: 'd1', region: 'r1', role: 'pool', protocolVersions: [1] }
+const hello: PeerHello = { host: 'h1', incarnation: 'i1', dataCentre: 'd1', region: 'r1', role: 'pool', protocolVersions: [2] }
 
 describe('PeerConnection', () => {
   it('answers a call, passes a typed error on, and rejects what is in flight when the peer goes away', async () => {
@@ -39,4 +39,13 @@
     assert.equal(client.isOpen, false)
     await server.close()
   })
+
+  // Guards against a peer of version 1, which reads the first message but not those that refer to its keys.
+  it('ends the connection of a peer that speaks no common version', async () => {
+    const server = await PeerServer.open({ address: '127.0.0.1', port: 0, hello, handleConnection: () => {} })
+    const client = await openPeerConnection({ host: '127.0.0.1', port: server.port, hello: { ...hello, protocolVersions: [1] } })
+    await client.closed
+    assert.equal(client.isOpen, false)
+    await server.close()
+  })
 })
