--- a/packages/capacity/src/main.ts
+++ b/packages/capacity/src/main.ts
@@ -36,4 +36,22 @@
     for (const result of await runPathBench(flags)) console.log(JSON.stringify(result))
   })
 
+program.command('slopes')
+  .description('heap and processor time of the state that grows with the fleet, at four sizes each')
+  .action(async () => {
+    const { runSlopes } = await import('./slopes/run-slopes.js')
+    const { measureConfigurationBytes } = await import('./slopes/measure-configuration-bytes.js')
+    for (const slope of runSlopes()) console.log(JSON.stringify(slope))
+    for (const size of [250, 1000, 4000, 16_000]) console.log(JSON.stringify(measureConfigurationBytes(size)))
+  })
+
+program.command('connections')
+  .description('memory of an entry for idle connections of callers')
+  .option('--counts <list>', 'numbers of connections', '0,500,1000,2000,4000')
+  .option('--seed <n>', 'seed', Number, 1)
+  .action(async ({ counts, seed }: { counts: string, seed: number }) => {
+    const { runConnectionBench } = await import('./path/run-connection-bench.js')
+    for (const result of await runConnectionBench({ counts: counts.split(',').map(Number), seed })) console.log(JSON.stringify(result))
+  })
+
 await program.parseAsync()
