--- a/packages/capacity/src/main.ts
+++ b/packages/capacity/src/main.ts
@@ -54,4 +54,12 @@
     for (const result of await runConnectionBench({ counts: counts.split(',').map(Number), seed })) console.log(JSON.stringify(result))
   })
 
+program.command('groups')
+  .description('cost of a pool for each group that it watches while there is no traffic')
+  .option('--seed <n>', 'seed', Number, 1)
+  .action(async ({ seed }: { seed: number }) => {
+    const { runGroupBench } = await import('./path/run-group-bench.js')
+    for (const result of await runGroupBench({ seed })) console.log(JSON.stringify(result))
+  })
+
 await program.parseAsync()
