Flush peer messages in groups of four instead of once a turn

Cause: requests that arrived together passed entry, pool and database as one batch; each process waited while another worked, and none was busy (entry about 42%, pool 62% of a core).

--- a/packages/transport/src/peer/peer-connection.ts
+++ b/packages/transport/src/peer/peer-connection.ts
@@ -9,6 +9,11 @@
 /** Version 1 sent all keys in every message and cannot read shared keys. */
 const PROTOCOL_VERSION = 2
 const ERROR_CODE = -32000
+/**
+ * Messages that leave in one write. With no limit, all requests that arrive together pass entry, pool and database as one
+ * batch, and each process waits while another works.
+ */
+const FLUSH_MESSAGES = 4
 const SEND_BUFFER_LIMIT_BYTES = 8 * 1024 * 1024
 
 interface MethodDefinition<Params extends z.ZodType, Result extends z.ZodType> {
@@ -142,12 +147,12 @@
     this.#rpc.receiveAndSend(message).catch(() => { this.#socket.destroy() })
   }
 
-  /** Messages of one event-loop turn leave in one write. */
   #send (message: unknown): void {
     const frame = this.#encode(message)
     this.#bytesSent += frame.length
     this.#writes.push(frame)
-    if (this.#writes.length === 1) setImmediate(() => { this.#flush() })
+    if (this.#writes.length >= FLUSH_MESSAGES) this.#flush()
+    else if (this.#writes.length === 1) setImmediate(() => { this.#flush() })
   }
 
   #encode (message: unknown): Buffer {
