Watch the store in short steps while no majority confirms the configuration

Cause: with one of two hosts gone only the store confirms the share table. A confirmation counts from before its watch of 2 s, so a share that is valid for 5 s had 1 s left before the next one, less than a grant needs: every two seconds requests inside the rate were rejected. Ruled out by a trace of the grants: the link of the entry, missing tokens in the bucket.

--- a/packages/control/src/configuration/configuration-task.ts
+++ b/packages/control/src/configuration/configuration-task.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { PlatformStore, StoredChange } from '@tanagerusher/coordination/common/platform-store'
 import { ConfigurationReplica } from '@tanagerusher/coordination/configuration/configuration-replica'
+import { chooseWatchDuration } from '@tanagerusher/coordination/configuration/choose-watch-duration'
 import { listConfigurationSources } from '@tanagerusher/coordination/configuration/list-configuration-sources'
 import type { MembershipView } from '@tanagerusher/coordination/membership/membership-view'
 import { configurationFetch } from '@tanagerusher/protocol/peer/configuration-fetch'
@@ -20,11 +21,11 @@
   view: MembershipView
   logger: Logger
   handleChange: (replica: ConfigurationReplica) => void
+  /** Time up to which a majority of the hosts confirmed the share table. */
+  findMajorityConfirmation: () => number
 }
 
 const KINDS = ['organisation', 'key', 'entry', 'group', 'fleet']
-/** The confirmation that a watch brings counts from before it was sent, so a long one is worth little. */
-const WATCH_MS = 2000
 /** A whole list now and then finds a change that the watch skipped. */
 const LIST_EVERY_MS = 60_000
 const RETRY_MIN_MS = 250
@@ -140,11 +141,11 @@
 
   /** One call to the store; returns how long to pause before the next. */
   async #watchStore (): Promise<number> {
-    const { clock, store, logger } = this.#options
+    const { clock, store, logger, findMajorityConfirmation } = this.#options
     const sentAt = clock.readTime()
     try {
       if (sentAt - this.#listedAt >= LIST_EVERY_MS) await this.#readAll(sentAt)
-      else this.#applyChanges(await store.watch(KINDS, this.#cursor, WATCH_MS))
+      else this.#applyChanges(await store.watch(KINDS, this.#cursor, chooseWatchDuration(findMajorityConfirmation(), sentAt)))
       this.#confirm(sentAt)
       this.#failures = 0
       return 0
--- a/packages/control/src/process/control-process.ts
+++ b/packages/control/src/process/control-process.ts
@@ -73,7 +73,13 @@
     this.#drain = Drain.create(settings.drain)
     this.#links = PeerLinks.create({ hello: createHello(self), tls: loadTls(settings.tls), prepareConnection: (connection) => { this.#prepareConnection(connection) } })
     this.#configuration = ConfigurationTask.create({
-      clock, store, logger, links: this.#links, view: this.#view, handleChange: (replica) => { this.#handleConfiguration(replica) }
+      clock,
+      store,
+      logger,
+      links: this.#links,
+      view: this.#view,
+      handleChange: (replica) => { this.#handleConfiguration(replica) },
+      findMajorityConfirmation: () => this.#shareTable.findMajorityConfirmation(clock.readTime())
     })
     this.#budgets = BudgetTask.create({ clock, links: this.#links, view: this.#view, shareTable: this.#shareTable })
     this.#shares = ShareTableTask.create({ clock, store, logger, view: this.#view, shareTable: this.#shareTable })
