--- a/packages/capacity/src/assignment/run-assignment-experiment.ts
+++ b/packages/capacity/src/assignment/run-assignment-experiment.ts
@@ -1,6 +1,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import type { AssignmentPolicy } from './assignment-policy.js'
+import type { AssignmentResult } from './assignment-result.js'
 
 interface RunOptions {
   policy: AssignmentPolicy
@@ -13,20 +14,6 @@
   failures: number
 }
 
-export interface AssignmentResult {
-  policy: string
-  width: number
-  /** Databases of the fullest host over the mean. */
-  maximumOverMean: number
-  /** Databases that change owner when a host fails, over the databases of that host. */
-  movedOverLost: number
-  /** Hosts that take over databases of the failed host. */
-  takers: number
-  /** Databases that the busiest taker takes over. It sets up their connections, so this bounds the duration. */
-  mostTaken: number
-  cpuMsPerChange: number
-}
-
 /** Places databases on groups of `width` hosts, lets one host fail at a time, and counts what moves. */
 export function runAssignmentExperiment ({ policy, hosts, databases, width, seed, failures }: RunOptions): AssignmentResult {
   const groupCount = Math.max(1, Math.floor(hosts / width))
--- /dev/null
+++ b/packages/capacity/src/path/drive-result.ts
@@ -0,0 +1,9 @@
+import type { Histogram } from 'hdr-histogram-js'
+
+/** Outcome of a closed loop of statements. */
+export interface DriveResult {
+  perSecond: number
+  failures: number
+  /** Latencies in microseconds. */
+  histogram: Histogram
+}
--- a/packages/capacity/src/path/drive-statements.ts
+++ b/packages/capacity/src/path/drive-statements.ts
@@ -1,5 +1,6 @@
-import { build, type Histogram } from 'hdr-histogram-js'
+import { build } from 'hdr-histogram-js'
 import pg from 'pg'
+import type { DriveResult } from './drive-result.js'
 
 const MICROSECONDS_PER_MS = 1000
 
@@ -10,13 +11,6 @@
   statement: (sequence: number) => string
 }
 
-export interface DriveResult {
-  perSecond: number
-  failures: number
-  /** Latencies in microseconds. */
-  histogram: Histogram
-}
-
 /** Runs statements in closed loops over a fixed number of connections. */
 export async function driveStatements ({ connection, clients, seconds, statement }: DriveOptions): Promise<DriveResult> {
   const histogram = build()
--- a/packages/capacity/src/path/read-process-usage.ts
+++ b/packages/capacity/src/path/read-process-usage.ts
@@ -1,16 +1,9 @@
 import { readFileSync } from 'node:fs'
+import type { ProcessUsage } from './process-usage.js'
 
 const TICKS_PER_SECOND = 100
 const KILOBYTE = 1024
 
-export interface ProcessUsage {
-  /** Processor time since the start of the process, in ms. */
-  cpuMs: number
-  residentBytes: number
-  /** Bytes that the process wrote, to sockets included. */
-  writtenBytes: number
-}
-
 /** Reads what a process has used, from the proc file system. */
 export function readProcessUsage (processId: number): ProcessUsage {
   const fields = readFileSync(`/proc/${processId}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? []
--- a/packages/capacity/src/path/run-path-bench.ts
+++ b/packages/capacity/src/path/run-path-bench.ts
@@ -1,7 +1,8 @@
 import { Fleet } from '@tanagerusher/load/fleet/fleet'
 import { tollLedger } from '@tanagerusher/load/workload/toll-ledger'
 import type pg from 'pg'
-import { driveStatements, type DriveResult } from './drive-statements.js'
+import type { DriveResult } from './drive-result.js'
+import { driveStatements } from './drive-statements.js'
 import { readProcessUsage } from './read-process-usage.js'
 
 interface RunOptions {
--- a/packages/capacity/src/slopes/measure-slope.ts
+++ b/packages/capacity/src/slopes/measure-slope.ts
@@ -1,5 +1,6 @@
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
+import type { Slope } from './slope.js'
 
 interface MeasureOptions<State> {
   name: string
@@ -10,13 +11,6 @@
   operations: number
 }
 
-export interface Slope {
-  name: string
-  size: number
-  heapBytesPerItem: number
-  cpuUsPerOperation: number
-}
-
 /** Measures heap for each item and processor time for each operation of a decision module at one size. */
 export function measureSlope<State> ({ name, size, build, run, operations }: MeasureOptions<State>): Slope {
   const before = readHeap()
--- a/packages/capacity/src/slopes/run-slopes.ts
+++ b/packages/capacity/src/slopes/run-slopes.ts
@@ -7,7 +7,8 @@
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import { buildChange } from './build-change.js'
 import { buildReplica } from './build-replica.js'
-import { measureSlope, type Slope } from './measure-slope.js'
+import { measureSlope } from './measure-slope.js'
+import type { Slope } from './slope.js'
 
 const SIZES = [250, 1000, 4000, 16_000]
 const OPERATIONS = 20_000
--- a/packages/checker/src/group/fake-member.ts
+++ b/packages/checker/src/group/fake-member.ts
@@ -1,12 +1,7 @@
 import type { RaiseTermAnswer } from '@tanagerusher/coordination/common/database-group'
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import type { Position } from '@tanagerusher/state/position/position'
-
-export interface LogEntry {
-  term: number
-  /** Identifier of the work; empty for the first entry of a term. */
-  work: string
-}
+import type { LogEntry } from './log-entry.js'
 
 export type WriteAnswer = { type: 'written', position: Position } | { type: 'refused' }
 
--- a/packages/checker/src/group/run-group-schedule.ts
+++ b/packages/checker/src/group/run-group-schedule.ts
@@ -3,13 +3,13 @@
 import { comparePositions } from '@tanagerusher/state/position/compare-positions'
 import type { Position } from '@tanagerusher/state/position/position'
 import { EventQueue } from '../common/event-queue.js'
-import type { Violation } from '../common/violation.js'
 import { FakeMember, type WriteAnswer } from './fake-member.js'
 import { GroupHistory } from './group-history.js'
 import { GroupHost } from './group-host.js'
 import { GroupNetwork } from './group-network.js'
 import type { GroupStep } from './group-step.js'
 import type { MechanismSwitches } from './mechanism-switches.js'
+import type { GroupRunResult } from './group-run-result.js'
 
 const GROUP = 'group'
 const MEMBERS = ['a', 'b', 'c']
@@ -35,13 +35,6 @@
   isRepeat: boolean
 }
 
-export interface GroupRunResult {
-  violations: Violation[]
-  acknowledged: number
-  reads: number
-  hasPrimary: boolean
-}
-
 /** Runs one schedule against three hosts and a group of three databases, then heals all faults and checks the outcome. */
 export function runGroupSchedule (options: RunOptions): GroupRunResult {
   return GroupRun.create(options).run()
--- a/packages/checker/src/hostile/run-hostile.ts
+++ b/packages/checker/src/hostile/run-hostile.ts
@@ -2,6 +2,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import type { HostileTarget } from './hostile-target.js'
+import type { HostileReport } from './hostile-report.js'
 
 interface RunOptions {
   targets: readonly HostileTarget[]
@@ -10,11 +11,6 @@
   runs: number
 }
 
-export interface HostileReport {
-  tried: Record<string, number>
-  faults: Array<{ target: string, input: string, error: string }>
-}
-
 const MAXIMUM_FAULTS = 10
 const MAXIMUM_EDITS = 6
 /** Values at the limits of lengths and counts. */
--- a/packages/checker/src/run-checker.ts
+++ b/packages/checker/src/run-checker.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check'
-import type { GroupRunResult } from './group/run-group-schedule.js'
 import { runGroupSchedule } from './group/run-group-schedule.js'
-import { groupStepArbitrary, type GroupStep } from './group/group-step.js'
+import { groupStepArbitrary } from './group/group-step.js'
 import type { MechanismSwitches } from './group/mechanism-switches.js'
+import type { CheckerReport } from './checker-report.js'
 
 interface RunCheckerOptions {
   seed: number
@@ -11,14 +11,6 @@
   switches?: MechanismSwitches
 }
 
-export interface CheckerReport {
-  runs: number
-  acknowledged: number
-  reads: number
-  /** Smallest failing schedule that shrinking found. */
-  counterexample: { seed: number, steps: readonly GroupStep[], violations: GroupRunResult['violations'] } | undefined
-}
-
 /** Runs random schedules of callers' work and faults against the failover and session modules. */
 export function runChecker ({ seed, runs, maximumSteps = 40, switches = {} }: RunCheckerOptions): CheckerReport {
   const report: CheckerReport = { runs: 0, acknowledged: 0, reads: 0, counterexample: undefined }
--- a/scripts/check-exports.mjs
+++ b/scripts/check-exports.mjs
@@ -1,8 +1,8 @@
-// Fails when a source file exports more than one value: one class, function or constant a file.
+// Fails when a source file exports more than one class, function, constant, interface or enum.
 import { execFileSync } from 'node:child_process'
 import { readFileSync } from 'node:fs'
 
-const VALUE_EXPORT = /^export (default |abstract |async )*(class|function|const|let|enum)\b/gm
+const VALUE_EXPORT = /^export (default |abstract |async )*(class|function|const|let|interface|enum)\b/gm
 const files = execFileSync('git', ['ls-files', '-co', '--exclude-standard', 'packages/*/src/**/*.ts', 'packages/*/src/*.ts'], { encoding: 'utf8' })
 const offenders = files.split('\n').filter(Boolean).flatMap((file) => {
   const count = readFileSync(file, 'utf8').match(VALUE_EXPORT)?.length ?? 0
