--- a/packages/checker/src/group/fake-member.ts
+++ b/packages/checker/src/group/fake-member.ts
@@ -1,4 +1,4 @@
-import type { RaiseTermAnswer } from '@tanagerusher/coordination/common/database-group'
+import type { RaiseTermAnswer } from '@tanagerusher/coordination/common/raise-term-answer'
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import type { Position } from '@tanagerusher/state/position/position'
 import type { LogEntry } from './log-entry.js'
--- a/packages/cli/src/commands/add-help-commands.ts
+++ b/packages/cli/src/commands/add-help-commands.ts
@@ -4,7 +4,7 @@
 import { z } from 'zod'
 import { CommandFailure } from '../client/command-failure.js'
 import { formatTable } from '../output/format-table.js'
-import { resources } from '../resources/resource.js'
+import { resources } from '../resources/resources.js'
 import { formatCompletion } from './format-completion.js'
 
 /** `explain` and `completion`; both work without a server. */
--- a/packages/cli/src/commands/add-object-commands.ts
+++ b/packages/cli/src/commands/add-object-commands.ts
@@ -2,8 +2,10 @@
 import { CommandFailure } from '../client/command-failure.js'
 import { printResult } from '../output/print-result.js'
 import { findResource } from '../resources/find-resource.js'
-import { listDifferences, type Difference } from '../resources/list-differences.js'
-import { readDocuments, type Document } from '../resources/read-documents.js'
+import { listDifferences } from '../resources/list-differences.js'
+import type { Difference } from '../resources/difference.js'
+import { readDocuments } from '../resources/read-documents.js'
+import type { Document } from '../resources/document.js'
 import type { CommandContext, OpenContext } from './command-context.js'
 
 interface StoredObject { kind: string, name: string, version: number, value: Record<string, unknown> }
--- /dev/null
+++ b/packages/cli/src/resources/difference.ts
@@ -0,0 +1,1 @@
+export interface Difference { path: string, from: unknown, to: unknown }
--- a/packages/cli/src/resources/find-resource.ts
+++ b/packages/cli/src/resources/find-resource.ts
@@ -1,5 +1,6 @@
 import { CommandFailure } from '../client/command-failure.js'
-import { resources, type Resource } from './resource.js'
+import type { Resource } from './resource.js'
+import { resources } from './resources.js'
 
 const PLURALS: Record<string, string> = { organisations: 'organisation', groups: 'group', entries: 'entry' }
 
--- a/packages/cli/src/resources/list-differences.ts
+++ b/packages/cli/src/resources/list-differences.ts
@@ -1,4 +1,4 @@
-export interface Difference { path: string, from: unknown, to: unknown }
+import type { Difference } from './difference.js'
 
 /** Fields in which two values differ, by path. A field that only one has is `undefined` in the other. */
 export function listDifferences (from: unknown, to: unknown, path = ''): Difference[] {
--- a/packages/cli/src/resources/read-documents.ts
+++ b/packages/cli/src/resources/read-documents.ts
@@ -2,13 +2,12 @@
 import { CommandFailure } from '../client/command-failure.js'
 import { readText } from '../client/read-text.js'
 import { findResource } from './find-resource.js'
-import { resources } from './resource.js'
+import { resources } from './resources.js'
+import type { Document } from './document.js'
 
 const documentSchema = z.looseObject({ kind: z.string(), name: z.string().min(1), value: z.record(z.string(), z.unknown()) })
 const fileSchema = z.union([z.array(documentSchema), documentSchema.transform((document) => [document])])
 
-export interface Document { kind: string, name: string, value: Record<string, unknown>, given: Record<string, unknown> }
-
 /** Objects from a JSON file or `-`, checked against their schemas, with defaults, in the order in which to apply them. */
 export function readDocuments (file: string): Document[] {
   const parsed = fileSchema.safeParse(parseJson(file))
--- a/packages/cli/src/resources/resource.ts
+++ b/packages/cli/src/resources/resource.ts
@@ -1,13 +1,7 @@
-import { entrySchema } from '@tanagerusher/state/configuration/entry'
-import { groupSchema } from '@tanagerusher/state/configuration/group'
-import { organisationSchema } from '@tanagerusher/state/configuration/organisation'
-import { z } from 'zod'
+import type { z } from 'zod'
 
-export interface Resource { path: string, schema: z.ZodType<Record<string, unknown>> }
-
-/** Kinds of object that `get`, `apply`, `diff` and `delete` handle, in the order in which they have to be applied. */
-export const resources: Record<string, Resource> = {
-  organisation: { path: '/v1/organisations', schema: organisationSchema },
-  group: { path: '/v1/groups', schema: groupSchema },
-  entry: { path: '/v1/entries', schema: entrySchema }
+/** Kind of object that operators handle: its path in the administration API and its schema. */
+export interface Resource {
+  path: string
+  schema: z.ZodType<Record<string, unknown>>
 }
--- /dev/null
+++ b/packages/control/src/administration/authenticated-operator.ts
@@ -0,0 +1,3 @@
+import type { Operator } from './operator.js'
+
+export interface AuthenticatedOperator extends Pick<Operator, 'role' | 'organisation'> { name: string }
--- a/packages/control/src/administration/list-page.ts
+++ b/packages/control/src/administration/list-page.ts
@@ -1,4 +1,5 @@
-import type { RouteAnswer, RouteRequest } from './route.js'
+import type { RouteAnswer } from './route-answer.js'
+import type { RouteRequest } from './route-request.js'
 
 /** One page of items in the order of their names. `next` is the `after` of the next page; null at the end. */
 export function listPage<Item extends { name: string }> (items: Item[], { limit, after }: RouteRequest<unknown>['query']): RouteAnswer {
--- a/packages/control/src/administration/operator-directory.ts
+++ b/packages/control/src/administration/operator-directory.ts
@@ -3,8 +3,7 @@
 import type { ConfigurationReplica } from '@tanagerusher/coordination/configuration/configuration-replica'
 import { z } from 'zod'
 import { operatorSchema, type Operator } from './operator.js'
-
-export interface AuthenticatedOperator extends Pick<Operator, 'role' | 'organisation'> { name: string }
+import type { AuthenticatedOperator } from './authenticated-operator.js'
 
 interface CreateOptions {
   replica: ConfigurationReplica
--- /dev/null
+++ b/packages/control/src/administration/route-answer.ts
@@ -0,0 +1,6 @@
+export interface RouteAnswer {
+  status?: number
+  /** Entity tag. */
+  version?: number
+  body: unknown
+}
--- a/packages/control/src/administration/route.ts
+++ b/packages/control/src/administration/route.ts
@@ -1,21 +1,6 @@
 import type { z } from 'zod'
-import type { AuthenticatedOperator } from './operator-directory.js'
-
-export interface RouteRequest<Body> {
-  operator: AuthenticatedOperator
-  params: Record<string, string>
-  query: { limit: number, after: string | undefined, dryRun: boolean }
-  /** Version that the caller expects, from `If-Match` or `If-None-Match: *` (0); undefined without either. */
-  expectedVersion: number | undefined
-  body: Body
-}
-
-export interface RouteAnswer {
-  status?: number
-  /** Entity tag. */
-  version?: number
-  body: unknown
-}
+import type { RouteRequest } from './route-request.js'
+import type { RouteAnswer } from './route-answer.js'
 
 /** One operation of the administration API. The OpenAPI document is made from these. */
 export interface Route<Body = unknown> {
--- a/packages/control/src/administration/routes/create-object-routes.ts
+++ b/packages/control/src/administration/routes/create-object-routes.ts
@@ -6,9 +6,10 @@
 import { z } from 'zod'
 import type { AdministrationContext } from '../administration-context.js'
 import { listPage } from '../list-page.js'
-import type { AuthenticatedOperator } from '../operator-directory.js'
+import type { AuthenticatedOperator } from '../authenticated-operator.js'
 import { requireObject } from '../require-object.js'
-import type { Route, RouteRequest } from '../route.js'
+import type { Route } from '../route.js'
+import type { RouteRequest } from '../route-request.js'
 import { writeObject } from '../write-object.js'
 
 type Kind = 'organisation' | 'entry' | 'group'
--- a/packages/control/src/administration/routes/create-operator-routes.ts
+++ b/packages/control/src/administration/routes/create-operator-routes.ts
@@ -5,7 +5,9 @@
 import { listPage } from '../list-page.js'
 import type { OperatorDirectory } from '../operator-directory.js'
 import { operatorSchema } from '../operator.js'
-import type { Route, RouteAnswer, RouteRequest } from '../route.js'
+import type { Route } from '../route.js'
+import type { RouteAnswer } from '../route-answer.js'
+import type { RouteRequest } from '../route-request.js'
 import { writeObject } from '../write-object.js'
 
 const CREDENTIAL_BYTES = 32
--- a/packages/control/src/administration/routes/create-snapshot-routes.ts
+++ b/packages/control/src/administration/routes/create-snapshot-routes.ts
@@ -1,7 +1,8 @@
 import type { ConfigurationChange } from '@tanagerusher/state/configuration/configuration-change'
 import type { AdministrationContext } from '../administration-context.js'
 import { controlSnapshotSchema, type ControlSnapshot } from '../../configuration/control-snapshot-schema.js'
-import type { Route, RouteRequest } from '../route.js'
+import type { Route } from '../route.js'
+import type { RouteRequest } from '../route-request.js'
 
 /** Export of the control state, and its difference from an earlier export. */
 export function createSnapshotRoutes ({ replica }: AdministrationContext): Route[] {
--- a/packages/control/src/administration/write-object.ts
+++ b/packages/control/src/administration/write-object.ts
@@ -2,7 +2,7 @@
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import { runChange } from '../store/run-change.js'
 import type { AdministrationContext } from './administration-context.js'
-import type { RouteRequest } from './route.js'
+import type { RouteRequest } from './route-request.js'
 
 interface WriteOptions {
   action: string
--- a/packages/control/src/configuration/configuration-task.ts
+++ b/packages/control/src/configuration/configuration-task.ts
@@ -11,7 +11,8 @@
 import type { ConfigurationUpdate } from '@tanagerusher/state/configuration/configuration-update'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
 import type { Logger } from 'winston'
-import type { PeerAddress, PeerLinks } from '../peer/peer-links.js'
+import type { PeerLinks } from '../peer/peer-links.js'
+import type { PeerAddress } from '../peer/peer-address.js'
 import { parseStoredChanges } from './parse-stored-changes.js'
 
 interface CreateOptions {
--- a/packages/control/src/membership/heartbeat-task.ts
+++ b/packages/control/src/membership/heartbeat-task.ts
@@ -6,7 +6,8 @@
 import type { FleetMember } from '@tanagerusher/state/common/fleet-member'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
 import type { BudgetTask } from '../budget/budget-task.js'
-import type { PeerAddress, PeerLinks } from '../peer/peer-links.js'
+import type { PeerLinks } from '../peer/peer-links.js'
+import type { PeerAddress } from '../peer/peer-address.js'
 import { createShareRow } from './create-share-row.js'
 
 interface CreateOptions {
--- /dev/null
+++ b/packages/control/src/peer/peer-address.ts
@@ -0,0 +1,1 @@
+export interface PeerAddress { host: string, port: number }
--- a/packages/control/src/peer/peer-links.ts
+++ b/packages/control/src/peer/peer-links.ts
@@ -2,8 +2,7 @@
 import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
 import { openPeerConnection } from '@tanagerusher/transport/peer/open-peer-connection'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
-
-export interface PeerAddress { host: string, port: number }
+import type { PeerAddress } from './peer-address.js'
 
 interface CreateOptions {
   hello: PeerHello
--- a/packages/control/src/store/lazy-platform-store.ts
+++ b/packages/control/src/store/lazy-platform-store.ts
@@ -1,4 +1,5 @@
-import type { PlatformStore, StoredChange, StoredObject } from '@tanagerusher/coordination/common/platform-store'
+import type { PlatformStore, StoredChange } from '@tanagerusher/coordination/common/platform-store'
+import type { StoredObject } from '@tanagerusher/coordination/common/stored-object'
 
 interface CreateOptions {
   /** Opens the client at the first call. */
--- a/packages/control/src/store/run-change.ts
+++ b/packages/control/src/store/run-change.ts
@@ -1,4 +1,5 @@
-import { ChangeWriter, type Change, type ChangeEffect, type ChangeEvent } from '@tanagerusher/coordination/configuration/change-writer'
+import { ChangeWriter, type ChangeEffect, type ChangeEvent } from '@tanagerusher/coordination/configuration/change-writer'
+import type { Change } from '@tanagerusher/coordination/configuration/change'
 import type { PlatformStore } from '@tanagerusher/coordination/common/platform-store'
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 
--- a/packages/coordination/src/common/caller-session.ts
+++ b/packages/coordination/src/common/caller-session.ts
@@ -1,10 +1,5 @@
 import type { WorkOutcome } from '@tanagerusher/errors/catalogue/error-definition'
-
-/** One request of a caller as an adapter hands it over: frontend messages that form a whole statement. */
-export interface CallerRequest {
-  requestId: string
-  frames: Uint8Array
-}
+import type { CallerRequest } from './caller-request.js'
 
 export type CallerAnswer =
   | { type: 'answered', frames: Uint8Array, transactionStatus: 'I' | 'T' | 'E' }
--- a/packages/coordination/src/common/database-group.ts
+++ b/packages/coordination/src/common/database-group.ts
@@ -1,11 +1,6 @@
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import type { Position } from '@tanagerusher/state/position/position'
-
-export interface RaiseTermAnswer {
-  granted: boolean
-  promisedTerm: number
-  log: Position
-}
+import type { RaiseTermAnswer } from './raise-term-answer.js'
 
 /**
  * Control functions of the databases of one group, as the platform gives them. Every call may fail, may be late, and may
--- a/packages/coordination/src/common/platform-store.ts
+++ b/packages/coordination/src/common/platform-store.ts
@@ -1,10 +1,4 @@
-/** Object in the platform's store. `version` rises with every change of any object. */
-export interface StoredObject {
-  kind: string
-  name: string
-  version: number
-  value: unknown
-}
+import type { StoredObject } from './stored-object.js'
 
 export type StoredChange =
   | { type: 'put', object: StoredObject }
--- a/packages/coordination/src/failover/commit-tracker.ts
+++ b/packages/coordination/src/failover/commit-tracker.ts
@@ -2,7 +2,8 @@
 import type { Position } from '@tanagerusher/state/position/position'
 import type { DecisionModule } from '../common/decision-module.js'
 import { findQuorumSize } from './find-quorum-size.js'
-import { isPositionInHistory, type TermStart } from './is-position-in-history.js'
+import { isPositionInHistory } from './is-position-in-history.js'
+import type { TermStart } from './term-start.js'
 
 export type CommitEvent =
   /** A database executed work; its log ended at `position` afterwards. */
--- a/packages/coordination/src/failover/is-position-in-history.ts
+++ b/packages/coordination/src/failover/is-position-in-history.ts
@@ -1,10 +1,5 @@
 import type { Position } from '@tanagerusher/state/position/position'
-
-/** Start position of a term in a log. */
-export interface TermStart {
-  term: number
-  start: number
-}
+import type { TermStart } from './term-start.js'
 
 /**
  * Lineage: whether the log with this term history, which ends at `end`, contains exactly the entry that a primary wrote
--- a/packages/coordination/src/fairness/slot-scheduler.ts
+++ b/packages/coordination/src/fairness/slot-scheduler.ts
@@ -1,4 +1,5 @@
-import { FairQueue, type EnqueueResult, type QueuedRequest } from './fair-queue.js'
+import { FairQueue, type EnqueueResult } from './fair-queue.js'
+import type { QueuedRequest } from './queued-request.js'
 
 interface CreateOptions {
   slots: number
--- a/packages/coordination/src/keys/key-set.ts
+++ b/packages/coordination/src/keys/key-set.ts
@@ -1,19 +1,7 @@
 import type { ConfigurationObject } from '@tanagerusher/state/configuration/configuration-object'
 import type { ConfigurationUpdate } from '@tanagerusher/state/configuration/configuration-update'
-import type { Key } from '@tanagerusher/state/configuration/key'
-
-export interface StoredKey extends Key {
-  name: string
-  version: number
-}
-
-/** What one request is checked for. Key name and generation are those with which its session logged in. */
-export interface KeyCheck {
-  organisation: string
-  keyName: string
-  generation: number
-  entryName: string
-}
+import type { StoredKey } from './stored-key.js'
+import type { KeyCheck } from './key-check.js'
 
 export type KeyDecision = 'allowed' | 'key-withdrawn' | 'access-denied' | 'entry-unknown'
 
--- /dev/null
+++ b/packages/coordination/src/keys/stored-key.ts
@@ -0,0 +1,6 @@
+import type { Key } from '@tanagerusher/state/configuration/key'
+
+export interface StoredKey extends Key {
+  name: string
+  version: number
+}
--- a/packages/coordination/src/outcome/idempotency.ts
+++ b/packages/coordination/src/outcome/idempotency.ts
@@ -1,11 +1,5 @@
 import { createHash } from 'node:crypto'
-
-/** Row of `tanagerusher_request`, written in the transaction of the work that it records. */
-export interface IdempotencyRecord {
-  digest: string
-  /** Backend messages of the first answer; null for an explicit transaction, whose answers are not kept. */
-  response: Uint8Array | null
-}
+import type { IdempotencyRecord } from './idempotency-record.js'
 
 export type IdempotencyDecision =
   | { type: 'run' }
--- a/packages/coordination/src/outcome/outcome-classifier.ts
+++ b/packages/coordination/src/outcome/outcome-classifier.ts
@@ -1,5 +1,5 @@
-import type { ErrorKind } from '@tanagerusher/errors/catalogue/error-kind'
 import { errorsCatalogue } from '@tanagerusher/errors/catalogue/errors-catalogue'
+import type { FailedRequest } from './failed-request.js'
 
 /**
  * How far a request had come when it failed. `waiting`: nothing was sent. `sent`: bytes may have reached the pool and no
@@ -7,15 +7,6 @@
  */
 export type RequestProgress = 'waiting' | 'sent' | 'rejected'
 
-export interface FailedRequest {
-  progress: RequestProgress
-  kind: ErrorKind
-  /** The request is part of an open transaction block that began earlier. */
-  isInTransaction: boolean
-  /** The request may commit that block. */
-  commits: boolean
-}
-
 export type RequestOutcome = 'not-run' | 'unknown'
 
 /** States whether the work of a failed request certainly did not take effect. */
--- a/packages/coordination/src/outcome/retry-policy.ts
+++ b/packages/coordination/src/outcome/retry-policy.ts
@@ -1,6 +1,6 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
-import type { RequestOutcome } from './outcome-classifier.js'
+import type { RetryRequest } from './retry-request.js'
 
 interface CreateOptions {
   seed: number
@@ -12,17 +12,6 @@
   maximumBudget: number
 }
 
-export interface RetryRequest {
-  /** Retries made for this request so far. */
-  attempt: number
-  outcome: RequestOutcome
-  /** The work may run again: repeatable entry, read at a read-only replica, or protected by an idempotency record. */
-  isRepeatable: boolean
-  /** Upstream state would be lost: the request continues a transaction block. */
-  isInTransaction: boolean
-  deadline: number
-}
-
 export type RetryDecision = { type: 'retry', delayMs: number } | { type: 'fail' }
 
 /**
--- /dev/null
+++ b/packages/coordination/src/session/replica-choice.ts
@@ -0,0 +1,4 @@
+export interface ReplicaChoice {
+  database: string
+  isPrimary: boolean
+}
--- a/packages/coordination/src/session/replica-selector.ts
+++ b/packages/coordination/src/session/replica-selector.ts
@@ -1,6 +1,7 @@
-import type { Position } from '@tanagerusher/state/position/position'
 import { isFloorSatisfied } from './is-floor-satisfied.js'
-import type { ReadAge } from './read-age.js'
+import type { ReplicaCandidate } from './replica-candidate.js'
+import type { ReadRequest } from './read-request.js'
+import type { ReplicaChoice } from './replica-choice.js'
 
 interface CreateOptions {
   dataCentre: string
@@ -11,36 +12,6 @@
   statusMaximumAgeMs: number
 }
 
-/** What the selector knows of one database of a group. */
-export interface ReplicaCandidate {
-  database: string
-  dataCentre: string
-  region: string
-  isPrimary: boolean
-  isReachable: boolean
-  /** A leaving database gets no new work. */
-  isLeaving: boolean
-  log: Position
-  load: number
-  age: ReadAge
-  receivedAt: number
-}
-
-export interface ReadRequest {
-  /** Lowest position that the read must see; null where only `maximumAgeMs` applies. */
-  floor: Position | null
-  maximumAgeMs: number | undefined
-  /** When the read was first routed; replicas that are behind are not tried once `catchUpWaitMs` have passed. */
-  routedAt: number
-  /** Databases that failed this read already. */
-  excluded: ReadonlySet<string>
-}
-
-export interface ReplicaChoice {
-  database: string
-  isPrimary: boolean
-}
-
 /**
  * Chooses the database for a read: a replica that is fresh enough, else one that is expected to catch up, of these the
  * nearest, then the least loaded; the primary is the last resort.
--- a/packages/coordination/src/session/session-token.ts
+++ b/packages/coordination/src/session/session-token.ts
@@ -1,10 +1,6 @@
 import type { Position } from '@tanagerusher/state/position/position'
 import { err, ok, type Result } from 'neverthrow'
-
-export interface SessionTokenPayload {
-  organisation: string
-  floors: ReadonlyMap<string, Position>
-}
+import type { SessionTokenPayload } from './session-token-payload.js'
 
 // Bounds the token's length. A group left out has no floor at the next host and is probed there.
 const MAXIMUM_GROUPS = 32
--- a/packages/coordination/test/configuration/change-writer.test.ts
+++ b/packages/coordination/test/configuration/change-writer.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { ChangeWriter, type Change, type ChangeEffect } from '../../src/configuration/change-writer.js'
+import { ChangeWriter, type ChangeEffect } from '../../src/configuration/change-writer.js'
+import type { Change } from '../../src/configuration/change.js'
 
 const change: Change = { kind: 'entry', name: 'e1', value: { owner: 'o1' }, expectedVersion: 4, changeId: 'mine' }
 
--- a/packages/coordination/test/fairness/fair-queue.test.ts
+++ b/packages/coordination/test/fairness/fair-queue.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { FairQueue, type QueuedRequest } from '../../src/fairness/fair-queue.js'
+import { FairQueue } from '../../src/fairness/fair-queue.js'
+import type { QueuedRequest } from '../../src/fairness/queued-request.js'
 import { SlotScheduler } from '../../src/fairness/slot-scheduler.js'
 import type { ServiceClass } from '../../src/fairness/service-class.js'
 import { simulateSlots } from './fixtures/simulate-slots.js'
--- a/packages/coordination/test/outcome/retry.test.ts
+++ b/packages/coordination/test/outcome/retry.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { OutcomeClassifier, type FailedRequest } from '../../src/outcome/outcome-classifier.js'
+import { OutcomeClassifier } from '../../src/outcome/outcome-classifier.js'
+import type { FailedRequest } from '../../src/outcome/failed-request.js'
 import { RetryPolicy } from '../../src/outcome/retry-policy.js'
 
 const policyOptions = { seed: 7, baseDelayMs: 50, maximumDelayMs: 400, budgetRatio: 0.1, maximumBudget: 2 }
--- a/packages/coordination/test/session/replica-selector.test.ts
+++ b/packages/coordination/test/session/replica-selector.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { ReadAge } from '../../src/session/read-age.js'
-import { ReplicaSelector, type ReplicaCandidate } from '../../src/session/replica-selector.js'
+import { ReplicaSelector } from '../../src/session/replica-selector.js'
+import type { ReplicaCandidate } from '../../src/session/replica-candidate.js'
 
 const selector = ReplicaSelector.create({ dataCentre: 'd1', region: 'r1', catchUpWaitMs: 150, statusMaximumAgeMs: 3000 })
 const floor = { term: 2, position: 10 }
--- a/packages/database/src/ledger/ledger.ts
+++ b/packages/database/src/ledger/ledger.ts
@@ -1,6 +1,7 @@
 import type { Change } from './change.js'
 import { SqlError } from './sql-error.js'
-import { Table, type Row } from './table.js'
+import { Table } from './table.js'
+import type { Row } from './row.js'
 
 /**
  * What the changes of one entry replaced, in their order, so that a truncation can put it back; null when they only
--- a/packages/database/src/ledger/table.ts
+++ b/packages/database/src/ledger/table.ts
@@ -3,12 +3,7 @@
 import { SqlError } from './sql-error.js'
 import type { TableDefinition } from './table-definition.js'
 import type { Value } from './value.js'
-
-export interface Row {
-  readonly values: readonly Value[]
-  /** Log position of the entry that wrote the row. */
-  readonly position: number
-}
+import type { Row } from './row.js'
 
 /** Committed rows of one table, by key. */
 export class Table {
--- a/packages/database/src/member/database-member.ts
+++ b/packages/database/src/member/database-member.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
-import type { RaiseTermAnswer } from '@tanagerusher/coordination/common/database-group'
+import type { RaiseTermAnswer } from '@tanagerusher/coordination/common/raise-term-answer'
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import type { Position } from '@tanagerusher/state/position/position'
 import type { Change } from '../ledger/change.js'
--- a/packages/database/src/sql/compile-aggregate.ts
+++ b/packages/database/src/sql/compile-aggregate.ts
@@ -4,7 +4,8 @@
 import type { Value } from '../ledger/value.js'
 import { compareValues } from './compare-values.js'
 import type { Expression } from './expression.js'
-import { Scope, type Aggregate } from './scope.js'
+import { Scope } from './scope.js'
+import type { Aggregate } from './aggregate.js'
 
 type Compile = (node: Expr, scope: Scope, expected?: ColumnType) => Expression
 
--- a/packages/database/src/sql/compile-delete.ts
+++ b/packages/database/src/sql/compile-delete.ts
@@ -1,6 +1,6 @@
 import type { DeleteStatement } from 'pgsql-ast-parser'
 import type { Value } from '../ledger/value.js'
-import type { CompileContext } from './compile-plan.js'
+import type { CompileContext } from './compile-context.js'
 import { compileProjection } from './compile-projection.js'
 import { compileRowFinder } from './compile-row-finder.js'
 import type { Plan } from './plan.js'
--- a/packages/database/src/sql/compile-order.ts
+++ b/packages/database/src/sql/compile-order.ts
@@ -4,7 +4,8 @@
 import { compareValues } from './compare-values.js'
 import { compileExpression } from './compile-expression.js'
 import type { RunContext } from './run-context.js'
-import type { Scope, ScopeColumn } from './scope.js'
+import type { Scope } from './scope.js'
+import type { ScopeColumn } from './scope-column.js'
 
 /** A source row and the output row made from it. */
 type RowPair = [source: readonly Value[], output: readonly Value[]]
--- a/packages/database/src/sql/compile-plan.ts
+++ b/packages/database/src/sql/compile-plan.ts
@@ -8,12 +8,8 @@
 import { compileSelect } from './compile-select.js'
 import { compileUpdate } from './compile-update.js'
 import type { Plan } from './plan.js'
-import { Scope, type ScopeColumn } from './scope.js'
-
-export interface CompileContext {
-  findTable: (name: string) => Table
-  createScope: (columns: readonly ScopeColumn[], qualifiers?: readonly string[]) => Scope
-}
+import { Scope } from './scope.js'
+import type { CompileContext } from './compile-context.js'
 
 interface CompileOptions {
   statement: Statement
--- a/packages/database/src/sql/compile-projection.ts
+++ b/packages/database/src/sql/compile-projection.ts
@@ -3,7 +3,8 @@
 import { compileExpression } from './compile-expression.js'
 import type { Expression } from './expression.js'
 import type { RunContext } from './run-context.js'
-import type { Scope, ScopeColumn } from './scope.js'
+import type { Scope } from './scope.js'
+import type { ScopeColumn } from './scope-column.js'
 
 interface Projection {
   columns: ScopeColumn[]
--- a/packages/database/src/sql/plan-cache.ts
+++ b/packages/database/src/sql/plan-cache.ts
@@ -4,7 +4,7 @@
 import type { Transaction } from '../ledger/transaction.js'
 import { compilePlan } from './compile-plan.js'
 import type { Plan } from './plan.js'
-import type { StatementInstance } from './statement-parser.js'
+import type { StatementInstance } from './statement-instance.js'
 
 const CACHE_LIMIT = 5000
 
--- a/packages/database/src/sql/plan.ts
+++ b/packages/database/src/sql/plan.ts
@@ -1,14 +1,8 @@
 import type { ColumnType } from '../ledger/column-type.js'
-import type { Value } from '../ledger/value.js'
 import type { Expression } from './expression.js'
 import type { RunContext } from './run-context.js'
-import type { ScopeColumn } from './scope.js'
-
-export interface PlanResult {
-  /** Rows that the statement changed; a query counts its rows as they are sent. */
-  count: number
-  rows: Iterable<readonly Value[]> | null
-}
+import type { ScopeColumn } from './scope-column.js'
+import type { PlanResult } from './plan-result.js'
 
 /** Compiled statement. */
 export interface Plan {
--- a/packages/database/src/sql/run-aggregates.ts
+++ b/packages/database/src/sql/run-aggregates.ts
@@ -1,7 +1,7 @@
 import type { Value } from '../ledger/value.js'
 import type { Expression } from './expression.js'
 import type { RunContext } from './run-context.js'
-import type { Aggregate } from './scope.js'
+import type { Aggregate } from './aggregate.js'
 
 interface Group {
   /** First row of the group; it supplies the columns that the statement groups by. */
--- /dev/null
+++ b/packages/database/src/sql/scope-column.ts
@@ -0,0 +1,6 @@
+import type { ColumnType } from '../ledger/column-type.js'
+
+export interface ScopeColumn {
+  name: string
+  type: ColumnType
+}
--- a/packages/database/src/sql/scope.ts
+++ b/packages/database/src/sql/scope.ts
@@ -1,19 +1,7 @@
 import type { ColumnType } from '../ledger/column-type.js'
 import { SqlError } from '../ledger/sql-error.js'
-import type { Value } from '../ledger/value.js'
-import type { Expression } from './expression.js'
-
-export interface ScopeColumn {
-  name: string
-  type: ColumnType
-}
-
-/** Aggregate function of a select list: its argument and how values are combined. */
-export interface Aggregate {
-  start: () => Value
-  add: (state: Value, value: Value) => Value
-  argument: Expression | null
-}
+import type { ScopeColumn } from './scope-column.js'
+import type { Aggregate } from './aggregate.js'
 
 interface CreateOptions {
   columns: readonly ScopeColumn[]
--- a/packages/database/src/sql/split-statements.ts
+++ b/packages/database/src/sql/split-statements.ts
@@ -1,13 +1,4 @@
-/** One statement of a query text, without comments, and the literals that were taken out of it. */
-export interface StatementText {
-  /** The statement as it was written, without comments. */
-  text: string
-  /** The statement with parameters in the place of its literals; the same for statements that differ only in them. */
-  template: string
-  /** Number of parameters of the client; literals are numbered after them. */
-  parameterCount: number
-  literals: Array<string | number>
-}
+import type { StatementText } from './statement-text.js'
 
 // Comment, dollar quote, string, quoted identifier, parameter, number, word, or any other character.
 const TOKEN = /--[^\n]*|\/\*|\$(\w*)\$|'(?:[^']|'')*'|"(?:[^"]|"")*"|\$\d+|(?:\d+\.?\d*|\.\d+)(?:[eE][+-]?\d+)?|[A-Za-z_]\w*|\s+|./gys
--- a/packages/database/src/sql/statement-parser.ts
+++ b/packages/database/src/sql/statement-parser.ts
@@ -2,16 +2,9 @@
 import { SqlError } from '../ledger/sql-error.js'
 import { parseSessionCommand } from './parse-session-command.js'
 import type { ParsedStatement } from './parsed-statement.js'
-import { splitStatements, type StatementText } from './split-statements.js'
-
-/** One parsed statement. `literals` fill the parameters after `parameterCount`. */
-export interface StatementInstance {
-  parsed: ParsedStatement
-  parameterCount: number
-  literals: Array<string | number>
-  /** Equal for statements that differ only in literals of the same kinds. */
-  cacheKey: string
-}
+import { splitStatements } from './split-statements.js'
+import type { StatementText } from './statement-text.js'
+import type { StatementInstance } from './statement-instance.js'
 
 const CACHE_LIMIT = 5000
 const TEMPLATE_COMMANDS = /^(?:select|insert|update|delete)\b/i
--- a/packages/database/src/wire/backend-writer.ts
+++ b/packages/database/src/wire/backend-writer.ts
@@ -1,6 +1,6 @@
 import { typeIdentifiers } from '../ledger/type-identifiers.js'
 import type { Value } from '../ledger/value.js'
-import type { ScopeColumn } from '../sql/scope.js'
+import type { ScopeColumn } from '../sql/scope-column.js'
 
 const CHUNK_BYTES = 16 * 1024
 const VARIABLE_LENGTH = -1
--- a/packages/database/src/wire/prepared-statement.ts
+++ b/packages/database/src/wire/prepared-statement.ts
@@ -1,7 +1,7 @@
 import type { ColumnType } from '../ledger/column-type.js'
 import type { SessionCommand } from '../sql/parsed-statement.js'
 import type { Plan } from '../sql/plan.js'
-import type { StatementInstance } from '../sql/statement-parser.js'
+import type { StatementInstance } from '../sql/statement-instance.js'
 
 /** Parsed statement of a session; SQL is compiled anew when tables change. */
 export interface PreparedStatement {
--- a/packages/entry/src/routing/group-table.ts
+++ b/packages/entry/src/routing/group-table.ts
@@ -1,5 +1,5 @@
 import { ReadAge } from '@tanagerusher/coordination/session/read-age'
-import type { ReplicaCandidate } from '@tanagerusher/coordination/session/replica-selector'
+import type { ReplicaCandidate } from '@tanagerusher/coordination/session/replica-candidate'
 import type { Group } from '@tanagerusher/state/configuration/group'
 import type { GroupStatus } from '@tanagerusher/state/group/group-status'
 
--- a/packages/entry/src/routing/pool-link.ts
+++ b/packages/entry/src/routing/pool-link.ts
@@ -1,7 +1,7 @@
 import type { ConnectionOptions } from 'node:tls'
 import { cancel } from '@tanagerusher/protocol/peer/cancel'
 import { execute, type ExecuteParams, type ExecuteResult } from '@tanagerusher/protocol/peer/execute'
-import { executeChunk, type ExecuteChunkParams } from '@tanagerusher/protocol/peer/execute-chunk'
+import { executeChunk } from '@tanagerusher/protocol/peer/execute-chunk'
 import { executeCredit } from '@tanagerusher/protocol/peer/execute-credit'
 import { groupStatusNotification } from '@tanagerusher/protocol/peer/group-status'
 import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
@@ -12,6 +12,7 @@
 import type { Position } from '@tanagerusher/state/position/position'
 import { openPeerConnection } from '@tanagerusher/transport/peer/open-peer-connection'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
+import type { ChunkReceiver } from './chunk-receiver.js'
 
 interface OpenOptions {
   address: { host: string, port: number }
@@ -20,11 +21,6 @@
   handleStatus: (status: GroupStatus) => void
 }
 
-/** Takes the chunks of one result. */
-export interface ChunkReceiver {
-  receiveChunk(chunk: ExecuteChunkParams, link: PoolLink): void
-}
-
 const RELEASE_TIMEOUT_MS = 5000
 const CANCEL_TIMEOUT_MS = 5000
 const WATCH_TIMEOUT_MS = 2000
--- a/packages/entry/src/routing/running-request.ts
+++ b/packages/entry/src/routing/running-request.ts
@@ -1,30 +1,11 @@
 import type { RequestProgress } from '@tanagerusher/coordination/outcome/outcome-classifier'
-import type { SessionFloor } from '@tanagerusher/coordination/session/session-floor'
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import type { ExecuteChunkParams } from '@tanagerusher/protocol/peer/execute-chunk'
 import type { Entry } from '@tanagerusher/state/configuration/entry'
 import type { Batch } from '../session/batch.js'
-import type { ChunkReceiver, PoolLink } from './pool-link.js'
-
-/** Connection of an open transaction: all its requests go to this pool and database. */
-export interface Pin {
-  link: PoolLink
-  database: string
-  access: 'read' | 'write'
-}
-
-/** What routing must know of the caller's session. */
-export interface RoutedSession {
-  /** Session identifier for the pools. New for each transaction, so that a late answer to one BEGIN cannot be taken for another. */
-  readonly transactionId: string
-  readonly organisation: string
-  readonly entryName: string
-  readonly beganAt: number
-  readonly floor: SessionFloor
-  pin: Pin | undefined
-  /** Writes result bytes to the caller. Calls `handleTaken` when the caller has taken them. */
-  writeChunk(frames: Uint8Array, handleTaken: () => void): void
-}
+import type { PoolLink } from './pool-link.js'
+import type { ChunkReceiver } from './chunk-receiver.js'
+import type { RoutedSession } from './routed-session.js'
 
 interface CreateOptions {
   session: RoutedSession
--- a/packages/entry/src/session/batch.ts
+++ b/packages/entry/src/session/batch.ts
@@ -1,5 +1,5 @@
 import type { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
-import type { StatementComment } from '@tanagerusher/protocol/postgres/parse-statement-comment'
+import type { StatementComment } from '@tanagerusher/protocol/postgres/statement-comment'
 
 /** Frontend messages that run as a whole: one Query, or extended messages up to a Sync. */
 export interface Batch {
--- a/packages/entry/src/session/session-tokens.ts
+++ b/packages/entry/src/session/session-tokens.ts
@@ -1,5 +1,6 @@
 import { createHmac, createSecretKey, timingSafeEqual, type KeyObject } from 'node:crypto'
-import { sessionToken, type SessionTokenPayload } from '@tanagerusher/coordination/session/session-token'
+import { sessionToken } from '@tanagerusher/coordination/session/session-token'
+import type { SessionTokenPayload } from '@tanagerusher/coordination/session/session-token-payload'
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import { err, ok, type Result } from 'neverthrow'
 
--- a/packages/entry/src/session/stored-statement.ts
+++ b/packages/entry/src/session/stored-statement.ts
@@ -1,6 +1,8 @@
 import { createHash } from 'node:crypto'
-import { classifyStatement, type StatementClass } from '@tanagerusher/protocol/postgres/classify-statement'
-import { parseStatementComment, type StatementComment } from '@tanagerusher/protocol/postgres/parse-statement-comment'
+import { classifyStatement } from '@tanagerusher/protocol/postgres/classify-statement'
+import type { StatementClass } from '@tanagerusher/protocol/postgres/statement-class'
+import { parseStatementComment } from '@tanagerusher/protocol/postgres/parse-statement-comment'
+import type { StatementComment } from '@tanagerusher/protocol/postgres/statement-comment'
 
 interface CreateOptions {
   name: string
--- /dev/null
+++ b/packages/load/src/experiments/failover/failover-mechanism.ts
@@ -0,0 +1,6 @@
+export interface FailoverMechanism {
+  name: string
+  role: 'product' | 'baseline'
+  promotion: 'majority' | 'store-lease'
+  acknowledgement: 'majority' | 'primary'
+}
--- a/packages/load/src/experiments/failover/run-failover-case.ts
+++ b/packages/load/src/experiments/failover/run-failover-case.ts
@@ -4,21 +4,8 @@
 import { FakeGroup } from './fake-group.js'
 import { FakeStore } from './fake-store.js'
 import { StoreLeasePermit } from './store-lease-permit.js'
-
-export interface FailoverScenario {
-  name: string
-  fault: 'crash' | 'cut-off'
-  storeOutage: boolean
-  /** The host that would act first is lost together with the primary. */
-  loseFirstHost: boolean
-}
-
-export interface FailoverMechanism {
-  name: string
-  role: 'product' | 'baseline'
-  promotion: 'majority' | 'store-lease'
-  acknowledgement: 'majority' | 'primary'
-}
+import type { FailoverScenario } from './failover-scenario.js'
+import type { FailoverMechanism } from './failover-mechanism.js'
 
 interface FailoverOutcome {
   /** Pause between acknowledgements around the fault; the horizon when none came after it. */
--- a/packages/load/src/experiments/failover/run-failover-experiment.ts
+++ b/packages/load/src/experiments/failover/run-failover-experiment.ts
@@ -1,6 +1,8 @@
 import { computePercentile } from '../../measures/compute-percentile.js'
 import type { ExperimentResult } from '../../report/experiment-result.js'
-import { type FailoverMechanism, type FailoverScenario, runFailoverCase } from './run-failover-case.js'
+import { runFailoverCase } from './run-failover-case.js'
+import type { FailoverMechanism } from './failover-mechanism.js'
+import type { FailoverScenario } from './failover-scenario.js'
 
 const MECHANISMS: FailoverMechanism[] = [
   { name: 'majority of the databases', role: 'product', promotion: 'majority', acknowledgement: 'majority' },
--- /dev/null
+++ b/packages/load/src/experiments/fairness/arrivals.ts
@@ -0,0 +1,5 @@
+export interface Arrivals {
+  organisation: string
+  perSecond: number
+  meanServiceMs: number
+}
--- a/packages/load/src/experiments/fairness/first-come-policy.ts
+++ b/packages/load/src/experiments/fairness/first-come-policy.ts
@@ -1,4 +1,4 @@
-import type { QueuedRequest } from '@tanagerusher/coordination/fairness/fair-queue'
+import type { QueuedRequest } from '@tanagerusher/coordination/fairness/queued-request'
 import type { QueuePolicy } from './queue-policy.js'
 
 /** Baseline: one queue for all organisations, in order of arrival, with the same bound on its length. */
--- a/packages/load/src/experiments/fairness/queue-policy.ts
+++ b/packages/load/src/experiments/fairness/queue-policy.ts
@@ -1,4 +1,4 @@
-import type { QueuedRequest } from '@tanagerusher/coordination/fairness/fair-queue'
+import type { QueuedRequest } from '@tanagerusher/coordination/fairness/queued-request'
 
 /** What the experiment needs of a queue in front of a database; the product's SlotScheduler has the same methods. */
 export interface QueuePolicy {
--- a/packages/load/src/experiments/fairness/run-fairness-case.ts
+++ b/packages/load/src/experiments/fairness/run-fairness-case.ts
@@ -1,19 +1,8 @@
 import { SeededRandom } from '../../random/seeded-random.js'
 import { VirtualTime } from '../common/virtual-time.js'
 import type { QueuePolicy } from './queue-policy.js'
-
-export interface Arrivals {
-  organisation: string
-  perSecond: number
-  meanServiceMs: number
-}
-
-export interface Completion {
-  organisation: string
-  dueMs: number
-  /** Absent when the request was refused or its deadline passed. */
-  endMs?: number
-}
+import type { Arrivals } from './arrivals.js'
+import type { Completion } from './completion.js'
 
 interface FairnessCaseOptions {
   policy: QueuePolicy
--- a/packages/load/src/experiments/fairness/run-fairness-experiment.ts
+++ b/packages/load/src/experiments/fairness/run-fairness-experiment.ts
@@ -3,7 +3,9 @@
 import type { ExperimentResult } from '../../report/experiment-result.js'
 import { FirstComePolicy } from './first-come-policy.js'
 import type { QueuePolicy } from './queue-policy.js'
-import { type Arrivals, type Completion, runFairnessCase } from './run-fairness-case.js'
+import { runFairnessCase } from './run-fairness-case.js'
+import type { Arrivals } from './arrivals.js'
+import type { Completion } from './completion.js'
 
 const ORGANISATIONS = ['turg', 'sadam', 'raekoda', 'anne', 'kesk', 'ranna', 'lille', 'vana']
 const AGGRESSOR = 'turg'
--- a/packages/load/src/fleet/fleet-plan.ts
+++ b/packages/load/src/fleet/fleet-plan.ts
@@ -1,9 +1,4 @@
-/** A process of the fleet and its settings. */
-export interface PlannedProcess {
-  name: string
-  program: string
-  settings: object
-}
+import type { PlannedProcess } from './planned-process.js'
 
 interface PlannedDatabase {
   name: string
--- a/packages/load/src/generator/build-callers.ts
+++ b/packages/load/src/generator/build-callers.ts
@@ -1,9 +1,10 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { Fleet } from '../fleet/fleet.js'
 import { SeededRandom } from '../random/seeded-random.js'
-import type { CallerClass } from '../workload/workload.js'
-import type { Caller } from './load-generator.js'
-import { RoamingSession, type EntryAddress } from './roaming-session.js'
+import type { CallerClass } from '../workload/caller-class.js'
+import type { Caller } from './caller.js'
+import { RoamingSession } from './roaming-session.js'
+import type { EntryAddress } from './entry-address.js'
 
 interface BuildCallersOptions {
   fleet: Fleet
--- /dev/null
+++ b/packages/load/src/generator/entry-address.ts
@@ -0,0 +1,5 @@
+export interface EntryAddress {
+  host: string
+  address: string
+  port: number
+}
--- a/packages/load/src/generator/load-generator.ts
+++ b/packages/load/src/generator/load-generator.ts
@@ -1,18 +1,7 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { Operation } from '../history/operation.js'
-import type { SeededRandom } from '../random/seeded-random.js'
 import { buildWork } from '../workload/build-work.js'
-import type { CallerClass } from '../workload/workload.js'
-import type { RoamingSession } from './roaming-session.js'
-
-/** A caller of the run: its session, its class and how often it sends. */
-export interface Caller {
-  session: RoamingSession
-  callerClass: CallerClass
-  random: SeededRandom
-  /** Mean time between arrivals of an open loop, or mean think time of a closed loop. */
-  intervalMs: number
-}
+import type { Caller } from './caller.js'
 
 interface LoadGeneratorOptions {
   callers: Caller[]
--- a/packages/load/src/generator/roaming-session.ts
+++ b/packages/load/src/generator/roaming-session.ts
@@ -5,6 +5,7 @@
 import type { Work } from '../workload/work.js'
 import { classifyFailure } from './classify-failure.js'
 import type { SessionIdentity } from './session-identity.js'
+import type { EntryAddress } from './entry-address.js'
 
 const CONNECT_TIMEOUT_MS = 3000
 /** Longer than the statement deadline of any catalogue entry; ends a wait for an answer that was lost. */
@@ -13,12 +14,6 @@
 const REPEAT_DELAY_MS = 100
 const TOKEN_PARAMETER = 'tanagerusher.session'
 
-export interface EntryAddress {
-  host: string
-  address: string
-  port: number
-}
-
 interface RoamingSessionOptions {
   identity: SessionIdentity
   /** Entries that the session may connect to; the list may change during the run. */
--- a/packages/load/src/measures/measure-worst-served.ts
+++ b/packages/load/src/measures/measure-worst-served.ts
@@ -1,12 +1,6 @@
 import type { History } from '../history/history.js'
 import { computePercentile } from './compute-percentile.js'
-
-export interface WorstServed {
-  organisation: string
-  /** Completed statements as a share of those that the organisation offered, or was entitled to when it offered more. */
-  share: number
-  p99Ms: number
-}
+import type { WorstServed } from './worst-served.js'
 
 interface MeasureWorstServedOptions {
   /** Organisations that exceed their rate on purpose; they are not measured. */
--- a/packages/load/src/replay/trace-runner.ts
+++ b/packages/load/src/replay/trace-runner.ts
@@ -4,7 +4,8 @@
 import { buildCallers } from '../generator/build-callers.js'
 import { buildHistory } from '../generator/build-history.js'
 import { LoadGenerator } from '../generator/load-generator.js'
-import { RoamingSession, type EntryAddress } from '../generator/roaming-session.js'
+import { RoamingSession } from '../generator/roaming-session.js'
+import type { EntryAddress } from '../generator/entry-address.js'
 import type { History } from '../history/history.js'
 import type { Operation } from '../history/operation.js'
 import { SeededRandom } from '../random/seeded-random.js'
@@ -14,12 +15,7 @@
 import { applyFault } from './apply-fault.js'
 import { evaluateExpectation } from './evaluate-expectation.js'
 import type { Trace, TraceEvent } from './trace.js'
-
-export interface TraceResult {
-  name: string
-  /** One line for each stated outcome. */
-  outcomes: Array<{ holds: boolean, text: string }>
-}
+import type { TraceResult } from './trace-result.js'
 
 interface SteppedSession {
   session: RoamingSession
--- a/packages/load/src/workload/build-work.ts
+++ b/packages/load/src/workload/build-work.ts
@@ -1,6 +1,6 @@
 import type { SeededRandom } from '../random/seeded-random.js'
 import type { Work } from './work.js'
-import type { CallerClass } from './workload.js'
+import type { CallerClass } from './caller-class.js'
 
 const ROLLBACK_SHARE = 0.2
 const TRANSACTION_ROWS = 2
--- a/packages/load/test/experiments.test.ts
+++ b/packages/load/test/experiments.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { type FailoverScenario, runFailoverCase } from '../src/experiments/failover/run-failover-case.js'
+import { runFailoverCase } from '../src/experiments/failover/run-failover-case.js'
+import type { FailoverScenario } from '../src/experiments/failover/failover-scenario.js'
 
 const scenario: FailoverScenario = { name: 'primary is cut off', fault: 'cut-off', storeOutage: true, loseFirstHost: false }
 
--- a/packages/pool/src/database/connection-set.ts
+++ b/packages/pool/src/database/connection-set.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import { ConnectionBudget } from '@tanagerusher/coordination/fairness/connection-budget'
 import type { Logger } from 'winston'
-import type { UpstreamAddress } from '../upstream/upstream-connection.js'
+import type { UpstreamAddress } from '../upstream/upstream-address.js'
 import { PooledConnection } from './pooled-connection.js'
 
 interface CreateOptions {
--- a/packages/pool/src/database/database-task.ts
+++ b/packages/pool/src/database/database-task.ts
@@ -21,7 +21,8 @@
 import type { PooledConnection } from './pooled-connection.js'
 import { ResultRelay } from './result-relay.js'
 import { runIdempotent } from './run-idempotent.js'
-import { runStatement, type StatementOutcome } from './run-statement.js'
+import { runStatement } from './run-statement.js'
+import type { StatementOutcome } from './statement-outcome.js'
 
 interface CreateOptions {
   database: Database
--- a/packages/pool/src/database/frontend-messages.ts
+++ b/packages/pool/src/database/frontend-messages.ts
@@ -1,7 +1,4 @@
-export interface FrontendMessage {
-  type: number
-  message: Buffer
-}
+import type { FrontendMessage } from './frontend-message.js'
 
 /** Splits complete frontend messages; an incomplete rest is not returned. */
 export function * listFrontendMessages (frames: Uint8Array): Generator<FrontendMessage> {
--- a/packages/pool/src/database/result-relay.ts
+++ b/packages/pool/src/database/result-relay.ts
@@ -2,19 +2,10 @@
 import type { TransactionStatus } from '@tanagerusher/coordination/transaction/connection-state'
 import { backendMessage } from '../upstream/backend-message.js'
 import type { Exchange } from '../upstream/exchange.js'
-import { readErrorFields, type ErrorFields } from '../upstream/read-error-fields.js'
+import { readErrorFields } from '../upstream/read-error-fields.js'
+import type { ErrorFields } from '../upstream/error-fields.js'
 import type { UpstreamConnection } from '../upstream/upstream-connection.js'
-
-export interface RelayedResult {
-  frames: Buffer<ArrayBuffer>
-  chunks: number
-  status: TransactionStatus
-  tags: string[]
-  error: ErrorFields | undefined
-  /** The error came before any command had completed: nothing was executed. */
-  isRejected: boolean
-  hasParameterStatus: boolean
-}
+import type { RelayedResult } from './relayed-result.js'
 
 interface CreateOptions {
   upstream: UpstreamConnection
--- a/packages/pool/src/database/run-statement.ts
+++ b/packages/pool/src/database/run-statement.ts
@@ -1,10 +1,11 @@
-import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import type { ExecuteParams } from '@tanagerusher/protocol/peer/execute'
-import { RowCollector, type CollectedRows } from '../upstream/row-collector.js'
+import { RowCollector } from '../upstream/row-collector.js'
+import type { CollectedRows } from '../upstream/collected-rows.js'
 import type { UpstreamConnection } from '../upstream/upstream-connection.js'
 import { encodeErrorResponse } from '../upstream/encode-error-response.js'
 import type { PooledConnection } from './pooled-connection.js'
-import type { RelayedResult, ResultRelay } from './result-relay.js'
+import type { ResultRelay } from './result-relay.js'
+import type { StatementOutcome } from './statement-outcome.js'
 
 interface RunOptions {
   connection: PooledConnection
@@ -15,10 +16,6 @@
   withStatus: boolean
 }
 
-export interface StatementOutcome extends RelayedResult {
-  databaseStatus: DatabaseStatus | undefined
-}
-
 const DEALLOCATING = /^(DEALLOCATE|DISCARD)/
 
 /**
--- /dev/null
+++ b/packages/pool/src/database/statement-outcome.ts
@@ -0,0 +1,6 @@
+import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
+import type { RelayedResult } from './relayed-result.js'
+
+export interface StatementOutcome extends RelayedResult {
+  databaseStatus: DatabaseStatus | undefined
+}
--- a/packages/pool/src/group/group-task.ts
+++ b/packages/pool/src/group/group-task.ts
@@ -1,5 +1,4 @@
 import { setTimeout as wait } from 'node:timers/promises'
-import type { Clock } from '@tanagerusher/coordination/common/clock'
 import { DataAgeTracker } from '@tanagerusher/coordination/failover/data-age-tracker'
 import { findQuorumSize } from '@tanagerusher/coordination/failover/find-quorum-size'
 import { GroupMonitor, type MonitorEvent } from '@tanagerusher/coordination/failover/group-monitor'
@@ -9,31 +8,12 @@
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import type { GroupStatus } from '@tanagerusher/state/group/group-status'
 import type { Position } from '@tanagerusher/state/position/position'
-import type { Logger } from 'winston'
-import type { SqlDatabaseGroup } from '../upstream/sql-database-group.js'
 import { CommitWaiters } from './commit-waiters.js'
 import { MemberWatch } from './member-watch.js'
-import { PlannedChange, type PausableDatabase } from './planned-change.js'
+import { PlannedChange } from './planned-change.js'
 import { ProbeRunner } from './probe-runner.js'
 import { PromotionRunner } from './promotion-runner.js'
-
-export interface GroupTaskOptions {
-  name: string
-  group: Group
-  databases: SqlDatabaseGroup
-  clock: Clock
-  logger: Logger
-  seed: number
-  suspectAfterMs: number
-  rankDelayMs: number
-  /** Requests that run or wait at this pool for a database; 0 for databases that other pools own. */
-  readLoad: (database: string) => number
-  /** The task of a database that this pool owns; undefined for the others. */
-  findOwnDatabase: (database: string) => PausableDatabase | undefined
-  handlePromotion: (succeeded: boolean) => void
-  /** The group's state changed; notifications are sent at most every few milliseconds. */
-  handleChange: (task: GroupTask) => void
-}
+import type { GroupTaskOptions } from './group-task-options.js'
 
 interface PositionWaiter {
   database: string
--- a/packages/pool/src/group/planned-change.ts
+++ b/packages/pool/src/group/planned-change.ts
@@ -2,14 +2,7 @@
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import type { Position } from '@tanagerusher/state/position/position'
 import type { Logger } from 'winston'
-
-/** Requests of a primary that is about to hand over. */
-export interface PausableDatabase {
-  pause: () => void
-  resume: () => void
-  /** Resolves true when nothing runs and no transaction is open, false after `timeoutMs`. */
-  waitUntilIdle: (timeoutMs: number) => Promise<boolean>
-}
+import type { PausableDatabase } from './pausable-database.js'
 
 interface CreateOptions {
   group: string
--- /dev/null
+++ b/packages/pool/src/upstream/error-fields.ts
@@ -0,0 +1,4 @@
+export interface ErrorFields {
+  code: string
+  text: string
+}
--- a/packages/pool/src/upstream/read-error-fields.ts
+++ b/packages/pool/src/upstream/read-error-fields.ts
@@ -1,7 +1,4 @@
-export interface ErrorFields {
-  code: string
-  text: string
-}
+import type { ErrorFields } from './error-fields.js'
 
 /** SQLSTATE and text of an ErrorResponse. */
 export function readErrorFields (message: Buffer): ErrorFields {
--- a/packages/pool/src/upstream/row-collector.ts
+++ b/packages/pool/src/upstream/row-collector.ts
@@ -1,16 +1,12 @@
 import type { TransactionStatus } from '@tanagerusher/coordination/transaction/connection-state'
 import { backendMessage } from './backend-message.js'
 import type { Exchange } from './exchange.js'
-import { readErrorFields, type ErrorFields } from './read-error-fields.js'
+import { readErrorFields } from './read-error-fields.js'
+import type { ErrorFields } from './error-fields.js'
+import type { CollectedRows } from './collected-rows.js'
 
 export type Row = Record<string, string | null>
 
-export interface CollectedRows {
-  rows: Row[]
-  error: ErrorFields | undefined
-  status: TransactionStatus
-}
-
 type Settle = (result: CollectedRows | { closed: string }) => void
 
 /** Collects the rows of one of the pool's own statements. Callers' results never go through it. */
--- a/packages/pool/src/upstream/sql-database-group.ts
+++ b/packages/pool/src/upstream/sql-database-group.ts
@@ -1,5 +1,6 @@
-import type { DatabaseGroup, RaiseTermAnswer } from '@tanagerusher/coordination/common/database-group'
-import type { TermStart } from '@tanagerusher/coordination/failover/is-position-in-history'
+import type { DatabaseGroup } from '@tanagerusher/coordination/common/database-group'
+import type { RaiseTermAnswer } from '@tanagerusher/coordination/common/raise-term-answer'
+import type { TermStart } from '@tanagerusher/coordination/failover/term-start'
 import type { Group } from '@tanagerusher/state/configuration/group'
 import type { DatabaseStatus } from '@tanagerusher/state/group/database-status'
 import type { Position } from '@tanagerusher/state/position/position'
--- a/packages/pool/src/upstream/upstream-connection.ts
+++ b/packages/pool/src/upstream/upstream-connection.ts
@@ -4,14 +4,7 @@
 import { backendMessage } from './backend-message.js'
 import type { Exchange } from './exchange.js'
 import { UpstreamLogin } from './upstream-login.js'
-
-export interface UpstreamAddress {
-  host: string
-  port: number
-  databaseName: string
-  user: string
-  password: string
-}
+import type { UpstreamAddress } from './upstream-address.js'
 
 interface OpenOptions {
   address: UpstreamAddress
--- a/packages/pool/src/upstream/upstream-login.ts
+++ b/packages/pool/src/upstream/upstream-login.ts
@@ -3,7 +3,7 @@
 import sasl from 'pg/lib/crypto/sasl.js'
 import { backendMessage } from './backend-message.js'
 import { readErrorFields } from './read-error-fields.js'
-import type { UpstreamAddress } from './upstream-connection.js'
+import type { UpstreamAddress } from './upstream-address.js'
 
 interface CreateOptions {
   address: UpstreamAddress
--- a/packages/protocol/src/postgres/frame-reader.ts
+++ b/packages/protocol/src/postgres/frame-reader.ts
@@ -1,16 +1,11 @@
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
+import type { FrontendFrame } from './frontend-frame.js'
 
 interface CreateOptions {
   /** Longest message accepted after the log-in, without the type byte. */
   maximumMessageBytes: number
 }
 
-/** One frontend message. `bytes` holds the whole message with type and length, as a view of the received data. */
-export interface FrontendFrame {
-  type: number
-  bytes: Buffer
-}
-
 const LENGTH_BYTES = 4
 const HEADER_BYTES = 5
 // The length PostgreSQL itself accepts for a startup packet.
--- a/packages/protocol/src/postgres/parse-statement-comment.ts
+++ b/packages/protocol/src/postgres/parse-statement-comment.ts
@@ -1,12 +1,6 @@
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import { err, ok, type Result } from 'neverthrow'
-
-/** Fields of a sqlcommenter comment that the proxy understands. */
-export interface StatementComment {
-  traceparent?: string
-  idempotencyKey?: string
-  session?: string
-}
+import type { StatementComment } from './statement-comment.js'
 
 const MAXIMUM_COMMENT_LENGTH = 8192
 const MAXIMUM_IDEMPOTENCY_KEY_LENGTH = 200
--- a/packages/protocol/src/postgres/scram-server.ts
+++ b/packages/protocol/src/postgres/scram-server.ts
@@ -1,14 +1,7 @@
 import { createHash, createHmac, timingSafeEqual } from 'node:crypto'
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
 import { err, ok, type Result } from 'neverthrow'
-
-/** Verifier of one key. `name` identifies the key to the entry; it never goes to the caller. */
-export interface ScramVerifier {
-  name: string
-  generation: number
-  storedKey: Buffer
-  serverKey: Buffer
-}
+import type { ScramVerifier } from './scram-verifier.js'
 
 interface CreateOptions {
   salt: Buffer
--- /dev/null
+++ b/packages/protocol/src/postgres/scram-verifier.ts
@@ -0,0 +1,7 @@
+/** Verifier of one key. `name` identifies the key to the entry; it never goes to the caller. */
+export interface ScramVerifier {
+  name: string
+  generation: number
+  storedKey: Buffer
+  serverKey: Buffer
+}
--- a/packages/protocol/test/postgres/scram-server.test.ts
+++ b/packages/protocol/test/postgres/scram-server.test.ts
@@ -2,7 +2,8 @@
 import { createHash, createHmac, pbkdf2Sync } from 'node:crypto'
 import { describe, it } from 'node:test'
 import { createKeyVerifier } from '../../src/postgres/create-key-verifier.js'
-import { ScramServer, type ScramVerifier } from '../../src/postgres/scram-server.js'
+import { ScramServer } from '../../src/postgres/scram-server.js'
+import type { ScramVerifier } from '../../src/postgres/scram-verifier.js'
 
 const salt = Buffer.from('0123456789abcdef')
 const iterations = 16
--- a/packages/store/src/objects/object-table.ts
+++ b/packages/store/src/objects/object-table.ts
@@ -1,5 +1,6 @@
 import { TanagerusherError } from '@tanagerusher/errors/tanagerusher-error'
-import type { StoredChange, StoredObject } from '@tanagerusher/coordination/common/platform-store'
+import type { StoredChange } from '@tanagerusher/coordination/common/platform-store'
+import type { StoredObject } from '@tanagerusher/coordination/common/stored-object'
 
 const COMPACTION_MINIMUM = 1000
 
