Remove the second path benchmark and share the row collection of UPDATE and DELETE

Cause: the load tool still had a bench command beside the capacity tool's path command, which measures the same and also the processor time of each process; npm run bench calls the latter. UPDATE and DELETE of the database stand-in collected matching rows with the same code. Conclusion: no behaviour of the product changes.

--- a/packages/database/src/sql/compile-delete.ts
+++ b/packages/database/src/sql/compile-delete.ts
@@ -1,15 +1,14 @@
 import type { DeleteStatement } from 'pgsql-ast-parser'
-import type { Value } from '../ledger/value.js'
 import type { CompileContext } from './compile-context.js'
 import { compileProjection } from './compile-projection.js'
-import { compileRowFinder } from './compile-row-finder.js'
+import { compileRowCollector } from './compile-row-collector.js'
 import type { Plan } from './plan.js'
 
 /** Compiles DELETE. */
 export function compileDelete (statement: DeleteStatement, context: CompileContext): Omit<Plan, 'parameterTypes'> {
   const table = context.findTable(statement.from.name)
   const scope = context.createScope(table.definition.columns, [statement.from.name])
-  const find = compileRowFinder(table, statement.where, scope)
+  const collect = compileRowCollector(table, statement.where, scope)
   const returning = statement.returning ? compileProjection(statement.returning, scope) : undefined
   return {
     command: 'DELETE',
@@ -18,8 +17,7 @@
     control: null,
     sleepSeconds: null,
     run: (runContext) => {
-      const found: Array<[key: string, values: readonly Value[]]> = []
-      find(runContext, (values, key) => { found.push([key, values]) })
+      const found = collect(runContext)
       for (const [key] of found) runContext.transaction.delete(table, key)
       return { count: found.length, rows: returning === undefined ? null : found.map(([, values]) => returning.project(values, runContext)) }
     }
--- a/packages/database/src/sql/compile-update.ts
+++ b/packages/database/src/sql/compile-update.ts
@@ -7,7 +7,7 @@
 import { compileExpression } from './compile-expression.js'
 import type { CompileContext } from './compile-context.js'
 import { compileProjection } from './compile-projection.js'
-import { compileRowFinder } from './compile-row-finder.js'
+import { compileRowCollector } from './compile-row-collector.js'
 import type { Plan } from './plan.js'
 import type { RunContext } from './run-context.js'
 
@@ -21,7 +21,7 @@
     const column = table.findColumn(set.column.name)
     return { column, expression: compileExpression(set.value, scope, table.readColumnType(column)) }
   })
-  const find = compileRowFinder(table, statement.where, scope)
+  const collect = compileRowCollector(table, statement.where, scope)
   const returning = statement.returning ? compileProjection(statement.returning, scope) : undefined
   const computeValues = (values: readonly Value[], runContext: RunContext): Value[] => {
     const updated = [...values]
@@ -35,8 +35,7 @@
     control: null,
     sleepSeconds: null,
     run: (runContext) => {
-      const found: Array<[key: string, values: readonly Value[]]> = []
-      find(runContext, (values, key) => { found.push([key, values]) })
+      const found = collect(runContext)
       const updated = found.map(([key, values]) => replaceRow(table, key, computeValues(values, runContext), runContext))
       return { count: updated.length, rows: returning === undefined ? null : updated.map((row) => returning.project(row, runContext)) }
     }
--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -1,6 +1,5 @@
 import { Command, InvalidArgumentError } from 'commander'
 import { exitCodes } from '@tanagerusher/runtime/process/exit-codes'
-import { runBench } from './bench/run-bench.js'
 import { runExperiment } from './experiments/run-experiment.js'
 import { writePage } from './report/write-page.js'
 import { writeResults } from './report/write-results.js'
@@ -61,19 +60,6 @@
     }
   })
 
-program.command('bench')
-  .description('statements a second and latency through the proxy over a direct connection to the stand-in, in one run')
-  .option('--seed <number>', 'seed of the fleet', parseCount, 1)
-  .option('--connections <count>', 'connections', parseCount, 16)
-  .option('--seconds <number>', 'duration of a round', parseCount, 3)
-  .option('--rounds <count>', 'alternating rounds of each path', parseCount, 3)
-  .action(async ({ seed, connections, seconds, rounds }: { seed: number, connections: number, seconds: number, rounds: number }) => {
-    const rows = await runBench({ seed, connections, durationMs: seconds * 1000, rounds })
-    for (const row of rows) console.log(JSON.stringify(row))
-    const [direct, proxy] = rows
-    if (direct !== undefined && proxy !== undefined) console.log(`proxy over direct: statements/s ${(proxy.statementsPerSecond / direct.statementsPerSecond).toFixed(3)}, p50 ${(proxy.p50Ms / direct.p50Ms).toFixed(2)}, p99 ${(proxy.p99Ms / direct.p99Ms).toFixed(2)}`)
-  })
-
 program.command('report')
   .description('write the page over the results of a directory again')
   .option('--output <directory>', 'directory with the results', 'results')
