--- a/eslint.format.config.js
+++ b/eslint.format.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 // Layout rules only: the formatter of Standard style.
-export default neostandard({ ts: true, ignores: ['**/dist/**', 'node_modules/**', 'results/**'] })
+export default neostandard({ ts: true, ignores: ['**/dist/**', 'node_modules/**', 'results/**', 'target/**'] })
   .map((config) => config.rules === undefined ? config : { ...config, rules: chooseLayoutRules(config.rules) })
 
 function chooseLayoutRules (rules) {
--- /dev/null
+++ b/packages/coordination/src/session/caller-session.ts
@@ -0,0 +1,43 @@
+import type { TransactionState } from '../common/caller-codec.js'
+import type { Position } from '@tanagerusher/state/position/position'
+import type { StatementAccess } from '@tanagerusher/state/upstream/upstream-command'
+import { comparePositions } from '@tanagerusher/state/position/compare-positions'
+
+interface Prepared { access: StatementAccess, shape: string }
+
+/** What a caller's session has set up, and the log position of its last commit. It lives as long as the caller's connection. */
+export class CallerSession {
+  state: TransactionState = 'idle'
+  readonly #values = new Map<string, string>()
+  readonly #prepared = new Map<string, Prepared>()
+  #floor: Position | undefined
+
+  static create (): CallerSession {
+    return new CallerSession()
+  }
+
+  get values (): Array<[string, string]> { return [...this.#values] }
+  get floor (): Position | undefined { return this.#floor }
+
+  setValue (name: string, value: string): void {
+    this.#values.set(name, value)
+  }
+
+  prepare (name: string, prepared: Prepared): void {
+    this.#prepared.set(name, prepared)
+  }
+
+  deallocate (name: string): void {
+    this.#prepared.delete(name)
+  }
+
+  findPrepared (name: string): Prepared | undefined {
+    return this.#prepared.get(name)
+  }
+
+  /** A commit of this session was acknowledged at a log position. */
+  recordCommit (position: Position | undefined): void {
+    if (position === undefined) return
+    if (this.#floor === undefined || comparePositions(position, this.#floor) > 0) this.#floor = position
+  }
+}
--- /dev/null
+++ b/packages/host/src/budget/budget-task.ts
@@ -0,0 +1,177 @@
+import { TokenExchange, type ExchangeOrder } from '@tanagerusher/coordination/budget/token-exchange'
+import { TokenPool } from '@tanagerusher/coordination/budget/token-pool'
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import { computeHash } from '@tanagerusher/coordination/common/compute-hash'
+import { computeRendezvousOrder } from '@tanagerusher/coordination/membership/compute-rendezvous-order'
+import { budgetExchange } from '@tanagerusher/protocol/peer/budget-exchange'
+import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
+import type { Catalogue } from '@tanagerusher/state/catalogue/catalogue'
+import type { Logger } from 'winston'
+import type { PeerLinks } from '../peer/peer-links.js'
+
+interface CreateOptions {
+  self: string
+  links: PeerLinks
+  clock: Clock
+  logger: Logger
+  /** Requests over the rate that operators accept in a window. */
+  rateSlack: number
+}
+
+type Amounts = Record<string, number>
+
+interface Waiter { organisation: string, resolve: (isTaken: boolean) => void, deadline: number }
+
+const EXCHANGE_EVERY_MS = 250
+/** Soonest exchange after the last one, when a request waits for a token. */
+const EXCHANGE_SOON_MS = 60
+const EXCHANGE_TIMEOUT_MS = 600
+/** The other part covers hosts that learn of a lower rate or of another host late. */
+const OVERDRAFT_PART = 0.5
+/** One home serves this many hosts. */
+const HOSTS_PER_HOME = 64
+
+/** Tokens of this host, and the pool of those that it keeps as a budget home. */
+export class BudgetTask {
+  readonly #options: CreateOptions
+  readonly #exchange: TokenExchange
+  readonly #pool = TokenPool.create()
+  #organisations: Catalogue['organisations'] = new Map()
+  #hosts: readonly HostRecord[] = []
+  #waiters: Waiter[] = []
+  #exchangedAt = -Infinity
+  #timer: NodeJS.Timeout | undefined
+  #isClosed = false
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+    this.#exchange = TokenExchange.create({ startedAt: options.clock.readTime(), overdraft: options.rateSlack * OVERDRAFT_PART })
+  }
+
+  static create (options: CreateOptions): BudgetTask {
+    return new BudgetTask(options)
+  }
+
+  start (): void {
+    this.#tick()
+  }
+
+  updateCatalogue ({ organisations }: Catalogue): void {
+    this.#organisations = organisations
+    this.#updateLimits()
+  }
+
+  updateHosts (hosts: readonly HostRecord[]): void {
+    this.#hosts = hosts
+    this.#updateLimits()
+  }
+
+  /** Takes a token for one operation, after a short wait if none is at hand. */
+  async take (organisation: string, waitMs: number): Promise<boolean> {
+    const { clock } = this.#options
+    if (!Number.isFinite(this.#organisations.get(organisation)?.ratePerSecond ?? 0)) return true
+    const now = clock.readTime()
+    if (this.#exchange.take(organisation, now)) return true
+    this.#tickSoon()
+    return await new Promise((resolve) => { this.#waiters.push({ organisation, resolve, deadline: now + waitMs }) })
+  }
+
+  refund (organisation: string): void {
+    this.#exchange.refund(organisation)
+  }
+
+  /** Inputs of a decision, for its log line. */
+  describe (organisation: string): Record<string, unknown> {
+    const limit = this.#organisations.get(organisation)
+    return { ratePerSecond: limit?.ratePerSecond, burst: limit?.burst, hosts: this.#hosts.length, ...this.#exchange.describe(organisation, this.#options.clock.readTime()) }
+  }
+
+  /** This host as budget home. */
+  handleExchange (deposits: Amounts, wants: Amounts): Amounts {
+    for (const [name, tokens] of Object.entries(deposits)) this.#pool.deposit(name, tokens, this.#organisations.get(name)?.burst ?? 0)
+    return Object.fromEntries(Object.entries(wants).map(([name, wanted]) => [name, this.#pool.take(name, wanted)]))
+  }
+
+  close (): void {
+    this.#isClosed = true
+    clearTimeout(this.#timer)
+    for (const { resolve } of this.#waiters.splice(0)) resolve(false)
+  }
+
+  #updateLimits (): void {
+    this.#exchange.updateLimits(this.#organisations, this.#hosts.length, this.#options.clock.readTime())
+  }
+
+  #tickSoon (): void {
+    const dueMs = Math.max(0, this.#exchangedAt + EXCHANGE_SOON_MS - this.#options.clock.readTime())
+    clearTimeout(this.#timer)
+    this.#timer = setTimeout(() => { this.#tick() }, dueMs)
+  }
+
+  #tick (): void {
+    if (this.#isClosed) return
+    const now = this.#options.clock.readTime()
+    this.#exchangedAt = now
+    const order = this.#exchange.takeOrder(now)
+    for (const [home, part] of this.#splitByHome(order)) void this.#exchangeWith(home, part)
+    this.#serveWaiters()
+    clearTimeout(this.#timer)
+    this.#timer = setTimeout(() => { this.#tick() }, this.#waiters.length > 0 ? EXCHANGE_SOON_MS : EXCHANGE_EVERY_MS)
+  }
+
+  #serveWaiters (): void {
+    const now = this.#options.clock.readTime()
+    this.#waiters = this.#waiters.filter(({ organisation, resolve, deadline }) => {
+      const isTaken = this.#exchange.retryTake(organisation, now)
+      if (isTaken || deadline <= now) resolve(isTaken)
+      return !isTaken && deadline > now
+    })
+  }
+
+  async #exchangeWith (home: HostRecord, { deposits, wants }: ExchangeOrder): Promise<void> {
+    const { self, links, clock, logger } = this.#options
+    if (home.host === self) {
+      this.#exchange.applyGrants(this.handleExchange(deposits, wants), clock.readTime())
+      this.#serveWaiters()
+      return
+    }
+    const link = links.find(home)
+    if (!await link.prepare()) {
+      this.#exchange.applyGrants(deposits, clock.readTime())
+      return
+    }
+    try {
+      const { grants } = await link.request(budgetExchange, { deposits, wants }, EXCHANGE_TIMEOUT_MS)
+      this.#exchange.applyGrants(grants, clock.readTime())
+      this.#serveWaiters()
+    } catch (error) {
+      // The home may have taken the deposits, so they count as gone; that can only lower the admitted rate.
+      logger.warn('budget exchange failed', { home: home.host, reason: String((error as Error).message) })
+    }
+  }
+
+  #splitByHome (order: ExchangeOrder): Map<HostRecord, ExchangeOrder> {
+    const homes = this.#listHomes()
+    const parts = new Map<HostRecord, ExchangeOrder>()
+    const add = (kind: keyof ExchangeOrder): void => {
+      for (const [name, tokens] of Object.entries(order[kind])) {
+        const home = homes[computeHash(name) % homes.length]
+        if (home === undefined) continue
+        const part = parts.get(home) ?? { deposits: {}, wants: {} }
+        part[kind][name] = tokens
+        parts.set(home, part)
+      }
+    }
+    add('deposits')
+    add('wants')
+    return parts
+  }
+
+  #listHomes (): HostRecord[] {
+    const { self, links } = this.#options
+    const usable = this.#hosts.filter((record) => record.host === self || links.find(record).readDownMs() === 0)
+    const order = computeRendezvousOrder('budget homes', usable.map(({ host }) => host))
+    const chosen = order.slice(0, Math.max(1, Math.ceil(this.#hosts.length / HOSTS_PER_HOME)))
+    return chosen.flatMap((host) => usable.find((record) => record.host === host) ?? [])
+  }
+}
--- /dev/null
+++ b/packages/host/src/caller/caller-server.ts
@@ -0,0 +1,58 @@
+import { createServer, type Server, type Socket } from 'node:net'
+import type { CallerCodec } from '@tanagerusher/coordination/common/caller-codec'
+import { CallerTask } from './caller-task.js'
+import type { CallerServices } from './caller-services.js'
+
+interface OpenOptions {
+  address: string
+  port: number
+  incarnation: string
+  services: CallerServices
+  createCodec: () => CallerCodec
+}
+
+/** Accepts callers. It owns the listening socket and the callers' tasks. */
+export class CallerServer {
+  readonly #server: Server
+  readonly #tasks = new Set<CallerTask>()
+  #accepted = 0
+
+  private constructor (options: OpenOptions) {
+    this.#server = createServer((socket) => { this.#accept(socket, options) })
+  }
+
+  static async open (options: OpenOptions): Promise<CallerServer> {
+    const callers = new CallerServer(options)
+    await new Promise<void>((resolve, reject) => {
+      callers.#server.once('error', reject)
+      callers.#server.listen(options.port, options.address, resolve)
+    })
+    return callers
+  }
+
+  get size (): number { return this.#tasks.size }
+  get openTransactions (): number { return [...this.#tasks].filter((task) => task.isInTransaction).length }
+
+  /** Ends the sessions that have no request under way and no open transaction. */
+  closeIdle (): void {
+    for (const task of this.#tasks) task.closeIdle()
+  }
+
+  abortTransactions (reason: string): void {
+    for (const task of this.#tasks) task.abortTransaction(reason)
+  }
+
+  stopAccepting (): void {
+    this.#server.close()
+  }
+
+  close (): void {
+    this.#server.close()
+    for (const task of this.#tasks) task.close()
+  }
+
+  #accept (socket: Socket, { incarnation, services, createCodec }: OpenOptions): void {
+    const name = `${incarnation}/${++this.#accepted}`
+    this.#tasks.add(CallerTask.create({ socket, codec: createCodec(), services, name, handleClosed: (task) => { this.#tasks.delete(task) } }))
+  }
+}
--- /dev/null
+++ b/packages/host/src/caller/caller-task.ts
@@ -0,0 +1,366 @@
+import type { Socket } from 'node:net'
+import type { CallerCheck } from '@tanagerusher/coordination/catalogue/catalogue-replica'
+import type { CallerCodec, CallerMessage } from '@tanagerusher/coordination/common/caller-codec'
+import { decideTransactionFailure } from '@tanagerusher/coordination/outcome/decide-transaction-failure'
+import { CallerSession } from '@tanagerusher/coordination/session/caller-session'
+import type { CallerStatement } from '@tanagerusher/state/upstream/caller-statement'
+import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
+import type { CallerServices } from './caller-services.js'
+import type { OpenTransaction } from './open-transaction.js'
+import type { BeginResult, OperationContext } from './operation-runner.js'
+
+interface CreateOptions {
+  socket: Socket
+  codec: CallerCodec
+  services: CallerServices
+  /** Unique in the fleet. */
+  name: string
+  handleClosed: (task: CallerTask) => void
+}
+
+type Allowed = Extract<CallerCheck, { type: 'allowed' }>
+type Run = Extract<CallerStatement, { type: 'run' }> | Extract<CallerStatement, { type: 'execute' }>
+
+/** A caller gives up a connection that is not ready after 2 s. */
+const START_WAIT_MS = 1000
+const START_CHECK_MS = 50
+/** Tokens come with the next exchange; a caller that waits longer is better told. */
+const TOKEN_WAIT_MS = 300
+/** Part of a statement's limit that is used, so that the answer is there before the limit. */
+const USED_PART = 0.95
+/** Messages of one caller that may wait; a caller that sends more is not read from. */
+const MAXIMUM_PENDING = 64
+const OWN_PROOF = '-'
+const PUBLIC_ORGANISATION = '-'
+
+/** One caller's connection: reads its statements in order and answers each. It owns the socket and the session. */
+export class CallerTask {
+  readonly #socket: Socket
+  readonly #codec: CallerCodec
+  readonly #services: CallerServices
+  readonly #name: string
+  readonly #handleClosed: (task: CallerTask) => void
+  readonly #session = CallerSession.create()
+  #messages: CallerMessage[] = []
+  #isRunning = false
+  #start: { database: string, key: string | undefined } | undefined
+  #transaction: OpenTransaction | undefined
+  #transactions = 0
+  #idleTimer: NodeJS.Timeout | undefined
+  #isClosed = false
+
+  private constructor ({ socket, codec, services, name, handleClosed }: CreateOptions) {
+    this.#socket = socket
+    this.#codec = codec
+    this.#services = services
+    this.#name = name
+    this.#handleClosed = handleClosed
+  }
+
+  static create (options: CreateOptions): CallerTask {
+    const task = new CallerTask(options)
+    const { socket } = options
+    socket.setNoDelay(true)
+    socket.on('data', (bytes: Buffer) => { task.#receive(bytes) })
+    socket.on('error', () => { socket.destroy() }) // 'close' follows and ends the session
+    socket.on('end', () => { socket.end() })
+    socket.once('close', () => { task.#end() })
+    return task
+  }
+
+  /** No request is under way and no transaction is open. */
+  get isIdle (): boolean { return !this.#isRunning && this.#messages.length === 0 && this.#transaction === undefined }
+  get isInTransaction (): boolean { return this.#transaction !== undefined }
+
+  /** Ends an idle session. */
+  closeIdle (): void {
+    if (this.isIdle) this.#socket.end()
+  }
+
+  /** Rolls an open transaction back; the caller's next statement in it is refused. */
+  abortTransaction (reason: string): void {
+    const transaction = this.#transaction
+    if (transaction === undefined || transaction.failure !== undefined || this.#isRunning) return
+    this.#failTransaction(transaction, reason)
+  }
+
+  close (): void {
+    this.#socket.destroy()
+  }
+
+  #receive (bytes: Buffer): void {
+    try {
+      this.#messages.push(...this.#codec.read(bytes))
+    } catch {
+      this.#socket.destroy()
+      return
+    }
+    if (this.#messages.length > MAXIMUM_PENDING) this.#socket.pause()
+    if (!this.#isRunning) void this.#run()
+  }
+
+  async #run (): Promise<void> {
+    this.#isRunning = true
+    clearTimeout(this.#idleTimer)
+    for (let message = this.#messages.shift(); message !== undefined && !this.#isClosed; message = this.#messages.shift()) {
+      await this.#handle(message).catch((error: unknown) => {
+        this.#services.logger.error('statement failed', { session: this.#name, reason: String((error as Error).stack) })
+        this.#socket.destroy()
+      })
+    }
+    this.#isRunning = false
+    this.#socket.resume()
+    this.#watchIdleTransaction()
+  }
+
+  async #handle (message: CallerMessage): Promise<void> {
+    if (message.type === 'quit') this.#socket.end()
+    else if (message.type === 'start') await this.#handleStart(message.database, message.key)
+    else if (message.type === 'invalid' || this.#start === undefined) this.#refuse('malformed', 'a connection begins with START')
+    else await this.#handleStatement(message.id, message.statement)
+  }
+
+  async #handleStart (database: string, key: string | undefined): Promise<void> {
+    const { clock, logger } = this.#services
+    const deadline = clock.readTime() + START_WAIT_MS
+    let check = this.#check(database, key)
+    while (check.type === 'refused' && check.reason === 'stale' && clock.readTime() < deadline) {
+      await new Promise((resolve) => setTimeout(resolve, START_CHECK_MS))
+      check = this.#check(database, key)
+    }
+    if (check.type === 'allowed') {
+      this.#start = { database, key }
+      this.#write(this.#codec.formatReady('idle', undefined))
+      return
+    }
+    const { failure, text } = describeRefusal(check.reason)
+    logger.info('session refused', { session: this.#name, database, failure, version: this.#services.catalogue.version })
+    this.#refuse(failure, text)
+  }
+
+  async #handleStatement (id: string, statement: CallerStatement): Promise<void> {
+    switch (statement.type) {
+      case 'set': this.#session.setValue(statement.name, statement.value); this.#answerOwn(); break
+      case 'prepare': this.#session.prepare(statement.name, statement); this.#answerOwn(); break
+      case 'deallocate': this.#session.deallocate(statement.name); this.#answerOwn(); break
+      case 'malformed': this.#fail(id, 'malformed', 'the statement cannot be read'); break
+      case 'rollback': this.#handleRollback(); break
+      case 'begin': await this.#handleBegin(id, statement.isReadOnly); break
+      case 'commit': await this.#handleCommit(id); break
+      default: await this.#handleRun(id, statement)
+    }
+  }
+
+  #handleRollback (): void {
+    const transaction = this.#transaction
+    this.#transaction = undefined
+    this.#session.state = 'idle'
+    if (transaction !== undefined) this.#releaseTransaction(transaction)
+    this.#answerOwn()
+  }
+
+  async #handleBegin (id: string, isReadOnly: boolean): Promise<void> {
+    if (this.#session.state !== 'idle') {
+      this.#fail(id, 'malformed', 'a transaction is open')
+      return
+    }
+    const allowed = await this.#admit(id)
+    if (allowed === undefined) return
+    const session = `${this.#name}#${++this.#transactions}`
+    const context = this.#buildContext(session, allowed)
+    this.#transaction = {
+      session, entry: allowed.entry, organisation: context.organisation, begun: this.#services.runner.begin(context, isReadOnly), isReadOnly, failure: undefined
+    }
+    this.#session.state = 'transaction'
+    this.#answerOwn()
+  }
+
+  async #handleCommit (id: string): Promise<void> {
+    const transaction = this.#transaction
+    if (transaction === undefined) {
+      this.#fail(id, 'malformed', 'no transaction is open')
+      return
+    }
+    const result = transaction.failure === undefined ? await this.#runPinned(transaction, { type: 'commit', id }, undefined) : undefined
+    this.#transaction = undefined
+    this.#session.state = 'idle'
+    if (result === undefined) {
+      this.#releaseTransaction(transaction)
+      this.#fail(id, 'aborted', transaction.failure ?? 'the transaction was not begun')
+      return
+    }
+    const { answer, wasSent } = result
+    if (answer.type === 'done') {
+      this.#session.recordCommit(answer.position)
+      this.#write(this.#codec.formatDone(answer.rows, answer.proof, 'idle', answer.position))
+      return
+    }
+    const { failure, text } = decideTransactionFailure({ answer, wasCommitSent: wasSent })
+    this.#releaseTransaction(transaction)
+    this.#fail(id, failure, text)
+  }
+
+  async #handleRun (id: string, statement: Run): Promise<void> {
+    if (this.#session.state === 'failed') {
+      this.#fail(id, 'malformed', 'the transaction has failed; end it with ROLLBACK')
+      return
+    }
+    const prepared = statement.type === 'execute' ? this.#session.findPrepared(statement.name) : undefined
+    const access = statement.type === 'run' ? statement.access : prepared?.access
+    if (access === undefined) {
+      this.#failStatement(id, 'unknown-statement', 'no statement of this name is prepared')
+      return
+    }
+    const needed = statement.type === 'execute' && prepared !== undefined ? { name: statement.name, access: prepared.access, shape: prepared.shape } : undefined
+    if (this.#transaction !== undefined) await this.#runInTransaction(this.#transaction, id, { text: statement.text, access, needed })
+    else await this.#runSingle(id, { text: statement.text, access, needed })
+  }
+
+  async #runSingle (id: string, statement: { text: string, access: 'read' | 'write', needed: { name: string, access: 'read' | 'write', shape: string } | undefined }): Promise<void> {
+    const allowed = await this.#admit(id)
+    if (allowed === undefined) return
+    const { runner, clock, metrics } = this.#services
+    const startedAt = clock.readTime()
+    const answer = await runner.runSingle(this.#buildContext(this.#name, allowed), { id, ...statement })
+    metrics.recordStatement(answer.type === 'done' ? 'done' : answer.failure, clock.readTime() - startedAt)
+    if (answer.type === 'failed') {
+      this.#fail(id, answer.failure, answer.text)
+      return
+    }
+    if (statement.access === 'write') this.#session.recordCommit(answer.position)
+    this.#write(this.#codec.formatDone(answer.rows, answer.proof, 'idle', answer.position))
+  }
+
+  async #runInTransaction (transaction: OpenTransaction, id: string, { text, access, needed }: { text: string, access: 'read' | 'write', needed: { name: string, access: 'read' | 'write', shape: string } | undefined }): Promise<void> {
+    const check = this.#check(this.#start?.database ?? '', this.#start?.key)
+    if (check.type === 'refused' && check.reason !== 'entry-unknown') {
+      const { failure, text: reason } = describeRefusal(check.reason)
+      this.#failTransaction(transaction, reason)
+      this.#fail(id, failure, reason)
+      return
+    }
+    if (access === 'write' && transaction.isReadOnly) {
+      this.#failStatement(id, 'not-primary', 'the transaction only reads')
+      return
+    }
+    const result = await this.#runPinned(transaction, { type: 'run', id, text, access, isInTransaction: true }, needed)
+    if (result === undefined) {
+      this.#failStatement(id, 'busy', transaction.failure ?? 'the transaction was not begun')
+      return
+    }
+    const { answer } = result
+    if (answer.type === 'done') {
+      this.#write(this.#codec.formatDone(answer.rows, answer.proof, 'transaction', answer.position))
+      return
+    }
+    const { failure, text: reason } = decideTransactionFailure({ answer, wasCommitSent: false })
+    this.#failStatement(id, failure, reason)
+  }
+
+  /** Runs a statement where the transaction is pinned; undefined when it was never begun there. */
+  async #runPinned (transaction: OpenTransaction, operation: Parameters<CallerServices['runner']['runPinned']>[2], needed: Parameters<CallerServices['runner']['runPinned']>[3]) {
+    const begun: BeginResult = await transaction.begun
+    if (begun.type === 'failed') {
+      transaction.failure = begun.text
+      return undefined
+    }
+    const context = this.#buildContext(transaction.session, { type: 'allowed', entry: transaction.entry, organisation: transaction.organisation })
+    const { result } = await this.#services.runner.runPinned(context, begun.place, operation, needed)
+    return result
+  }
+
+  /** Checks the key and takes a token. Undefined when the statement was refused. */
+  async #admit (id: string): Promise<Allowed | undefined> {
+    const { budget } = this.#services
+    const check = this.#check(this.#start?.database ?? '', this.#start?.key)
+    if (check.type === 'refused') {
+      const { failure, text } = describeRefusal(check.reason)
+      this.#fail(id, failure, text)
+      return undefined
+    }
+    if (check.organisation === undefined || await budget.take(check.organisation, TOKEN_WAIT_MS)) return check
+    this.#services.logger.info('no token', { request: id, organisation: check.organisation, ...budget.describe(check.organisation) })
+    this.#fail(id, 'busy', 'the rate of the organisation is used up; retry after 1000 ms')
+    return undefined
+  }
+
+  #check (database: string, key: string | undefined): CallerCheck {
+    this.#services.checkClocks()
+    return this.#services.catalogue.checkCaller(database, key, this.#services.clock.readTime())
+  }
+
+  #buildContext (session: string, { entry, organisation }: Allowed): OperationContext {
+    return {
+      session,
+      entry,
+      organisation: organisation ?? PUBLIC_ORGANISATION,
+      values: this.#session.values,
+      floor: this.#session.floor,
+      deadline: this.#services.clock.readTime() + entry.statementTimeoutMs * USED_PART
+    }
+  }
+
+  /** Answers a failed statement; inside a transaction, that can then only be ended. */
+  #failStatement (id: string, failure: StatementFailure, text: string): void {
+    if (this.#transaction !== undefined) this.#failTransaction(this.#transaction, text)
+    this.#fail(id, failure, text)
+  }
+
+  #failTransaction (transaction: OpenTransaction, reason: string): void {
+    transaction.failure ??= reason
+    this.#session.state = 'failed'
+    this.#releaseTransaction(transaction)
+  }
+
+  /** Rolls back at the database, wherever the transaction has got to. */
+  #releaseTransaction (transaction: OpenTransaction): void {
+    void transaction.begun.then(async (begun) => {
+      if (begun.type !== 'begun') return
+      const context = this.#buildContext(transaction.session, { type: 'allowed', entry: transaction.entry, organisation: transaction.organisation })
+      await this.#services.runner.runPinned(context, begun.place, { type: 'rollback' }, undefined)
+    })
+  }
+
+  #watchIdleTransaction (): void {
+    clearTimeout(this.#idleTimer)
+    if (this.#transaction === undefined || this.#isClosed) return
+    const limitMs = this.#services.catalogue.catalogue?.transactionIdleMs
+    if (limitMs === undefined) return
+    this.#idleTimer = setTimeout(() => { this.abortTransaction(`the transaction rested longer than ${limitMs} ms`) }, limitMs)
+  }
+
+  #answerOwn (): void {
+    this.#write(this.#codec.formatDone([], OWN_PROOF, this.#session.state, this.#session.floor))
+  }
+
+  #fail (id: string, failure: StatementFailure, text: string): void {
+    const { logger, catalogue, clock } = this.#services
+    logger.info('statement refused', {
+      request: id, session: this.#name, failure, reason: text, state: this.#session.state, version: catalogue.version, proofAgeMs: Math.round(catalogue.readProofAge(clock.readTime()))
+    })
+    this.#write(this.#codec.formatFailure(failure, text, this.#session.state, this.#session.floor))
+  }
+
+  #refuse (failure: StatementFailure, text: string): void {
+    this.#write(this.#codec.formatRefusal(failure, text))
+    this.#socket.end()
+  }
+
+  #write (text: string): void {
+    if (!this.#socket.destroyed) this.#socket.write(text, 'latin1')
+  }
+
+  #end (): void {
+    this.#isClosed = true
+    clearTimeout(this.#idleTimer)
+    const transaction = this.#transaction
+    this.#transaction = undefined
+    if (transaction !== undefined) this.#releaseTransaction(transaction)
+    this.#handleClosed(this)
+  }
+}
+
+function describeRefusal (reason: 'entry-unknown' | 'key-unknown' | 'stale'): { failure: StatementFailure, text: string } {
+  if (reason === 'stale') return { failure: 'busy', text: 'this host cannot confirm the catalogue; retry at another one' }
+  return { failure: reason, text: reason === 'entry-unknown' ? 'there is no such database' : 'the key is not known' }
+}
--- /dev/null
+++ b/packages/host/src/caller/operation-runner.ts
@@ -0,0 +1,139 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
+import { decideStatementOutcome, type StatementDecision } from '@tanagerusher/coordination/outcome/decide-statement-outcome'
+import { chooseReadUpstream } from '@tanagerusher/coordination/placement/choose-read-upstream'
+import type { UpstreamExecuteParams } from '@tanagerusher/protocol/peer/upstream-execute'
+import type { CatalogueEntry } from '@tanagerusher/state/catalogue/catalogue-entry'
+import type { Position } from '@tanagerusher/state/position/position'
+import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
+import type { StatementAccess } from '@tanagerusher/state/upstream/upstream-command'
+import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
+import type { Logger } from 'winston'
+import type { OwnedOperation, OwnerRouter, RoutedResult } from '../upstream/owner-router.js'
+
+export interface OperationContext {
+  session: string
+  entry: CatalogueEntry
+  organisation: string
+  values: Array<[string, string]>
+  floor: Position | undefined
+  deadline: number
+}
+
+export interface SingleStatement {
+  id: string
+  text: string
+  access: StatementAccess
+  needed: UpstreamExecuteParams['needed']
+}
+
+export type FinalAnswer = Extract<StatementDecision, { type: 'answer' }>['answer']
+
+/** Where a transaction is pinned. */
+export interface TransactionPlace { record: UpstreamRecord, host: string }
+
+export type BeginResult = { type: 'begun', place: TransactionPlace } | { type: 'failed', failure: StatementFailure, text: string }
+
+interface CreateOptions {
+  router: OwnerRouter
+  leaders: LeaderView
+  listRecords: (group: string) => UpstreamRecord[]
+  clock: Clock
+  logger: Logger
+}
+
+const MAXIMUM_ATTEMPTS = 6
+const RETRY_PAUSE_MS = 40
+/** With less time left a statement has no chance to be answered. */
+const MINIMUM_LEFT_MS = 20
+
+/** Finds a database for each operation of a caller and tries again where nothing has run. */
+export class OperationRunner {
+  readonly #options: CreateOptions
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+  }
+
+  static create (options: CreateOptions): OperationRunner {
+    return new OperationRunner(options)
+  }
+
+  async runSingle (context: OperationContext, { id, text, access, needed }: SingleStatement): Promise<FinalAnswer> {
+    const operation: UpstreamExecuteParams['operation'] = { type: 'run', id, text, access, isInTransaction: false }
+    const mayUseReplica = access === 'read' && context.entry.consistency !== 'primary'
+    let answer: FinalAnswer | undefined
+    const failure = await this.#tryDatabases(context, mayUseReplica, id, async (record, replicaRead) => {
+      const { result } = await this.#options.router.execute(record, this.#buildParams(context, operation, replicaRead, needed))
+      const decision = decideStatementOutcome(result, access)
+      if (decision.type === 'retry') return decision.reason
+      answer = decision.answer
+      return undefined
+    })
+    return answer ?? { type: 'failed', failure: 'busy', text: failure ?? 'not run', position: undefined }
+  }
+
+  /** Opens a transaction; a caller that only reads may get a replica. */
+  async begin (context: OperationContext, isReadOnly: boolean): Promise<BeginResult> {
+    const mayUseReplica = isReadOnly && context.entry.consistency !== 'primary'
+    let place: TransactionPlace | undefined
+    const failure = await this.#tryDatabases(context, mayUseReplica, context.session, async (record, replicaRead) => {
+      const { result, host } = await this.#options.router.execute(record, this.#buildParams(context, { type: 'begin', isReadOnly }, replicaRead, undefined))
+      if (result.answer.type !== 'done') return result.answer.type === 'failed' ? result.answer.failure : result.answer.reason
+      place = { record, host }
+      return undefined
+    })
+    return place === undefined ? { type: 'failed', failure: 'busy', text: failure ?? 'not run' } : { type: 'begun', place }
+  }
+
+  async runPinned (context: OperationContext, place: TransactionPlace, operation: UpstreamExecuteParams['operation'], needed: UpstreamExecuteParams['needed']): Promise<RoutedResult> {
+    return await this.#options.router.execute(place.record, this.#buildParams(context, operation, undefined, needed), place.host)
+  }
+
+  /** Tries databases until one carries the operation out. Returns why none did. */
+  async #tryDatabases (
+    context: OperationContext, mayUseReplica: boolean, id: string, attempt: (record: UpstreamRecord, replicaRead: UpstreamExecuteParams['replicaRead']) => Promise<string | undefined>
+  ): Promise<string | undefined> {
+    const { clock, logger, leaders } = this.#options
+    const { group, maxStalenessMs } = context.entry
+    const excluded = new Set<string>()
+    let reason: string | undefined = 'no database of the group is known'
+    for (let attempts = 0; attempts < MAXIMUM_ATTEMPTS && context.deadline - clock.readTime() > MINIMUM_LEFT_MS; attempts++) {
+      const records = this.#options.listRecords(group)
+      const leader = leaders.findLeader(group, records)
+      const chosen = mayUseReplica ? this.#chooseForRead(records, leader, excluded) : leader
+      if (chosen === undefined) {
+        excluded.clear()
+        await pause(RETRY_PAUSE_MS)
+        continue
+      }
+      const replicaRead = mayUseReplica && chosen.id !== leader?.id ? { maxStalenessMs, floor: context.floor } : undefined
+      const sentAt = clock.readTime()
+      reason = await attempt(chosen, replicaRead)
+      if (reason === undefined) return undefined
+      logger.info('attempt failed', { request: id, database: chosen.id, attempt: attempts + 1, reason, tookMs: Math.round(clock.readTime() - sentAt) })
+      excluded.add(chosen.id)
+      if (!mayUseReplica) await pause(RETRY_PAUSE_MS)
+    }
+    return reason
+  }
+
+  #chooseForRead (records: readonly UpstreamRecord[], leader: UpstreamRecord | undefined, excluded: ReadonlySet<string>): UpstreamRecord | undefined {
+    const candidates = records.filter(({ id }) => !excluded.has(id)).map((record) => ({
+      id: record.id, record, isLeader: record.id === leader?.id, isLeaving: record.isLeaving, ...this.#options.router.estimateWait(record)
+    }))
+    return chooseReadUpstream(candidates)?.record
+  }
+
+  #buildParams (
+    { session, organisation, values, deadline, entry }: OperationContext, operation: UpstreamExecuteParams['operation'],
+    replicaRead: UpstreamExecuteParams['replicaRead'], needed: UpstreamExecuteParams['needed']
+  ): OwnedOperation {
+    const timeLeftMs = Math.max(1, deadline - this.#options.clock.readTime())
+    return { session, organisation, operation, values, needed, replicaRead, timeLeftMs, priority: entry.priority }
+  }
+}
+
+async function pause (durationMs: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, durationMs))
+}
--- /dev/null
+++ b/packages/host/src/failover/failover-task.ts
@@ -0,0 +1,145 @@
+import { ClaimQueue } from '@tanagerusher/coordination/failover/claim-queue'
+import type { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
+import { computeRendezvousOrder } from '@tanagerusher/coordination/membership/compute-rendezvous-order'
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { PlatformAdapter } from '@tanagerusher/coordination/common/platform-adapter'
+import { leaderChanged } from '@tanagerusher/protocol/peer/leader-changed'
+import { upstreamProbe } from '@tanagerusher/protocol/peer/upstream-probe'
+import type { Catalogue } from '@tanagerusher/state/catalogue/catalogue'
+import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
+import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
+import type { Logger } from 'winston'
+import type { PeerLinks } from '../peer/peer-links.js'
+import type { OwnerRegistry } from '../upstream/owner-registry.js'
+import type { OwnerRouter } from '../upstream/owner-router.js'
+import { PromotionRun } from './promotion-run.js'
+
+interface CreateOptions {
+  self: HostRecord
+  adapter: PlatformAdapter
+  leaders: LeaderView
+  links: PeerLinks
+  registry: OwnerRegistry
+  router: OwnerRouter
+  listRecords: (group: string) => UpstreamRecord[]
+  findCatalogue: () => Catalogue | undefined
+  clock: Clock
+  logger: Logger
+}
+
+const TICK_MS = 200
+/** A primary that answered work this recently needs no probe. */
+const PROBE_AFTER_MS = 300
+/** Hosts that are asked whether they reach a silent primary. */
+const WITNESSES = 3
+const WITNESS_TIMEOUT_MS = 900
+/** After a promotion was given up or a witness reached the primary. */
+const PAUSE_AFTER_MS = 500
+
+/** Watches the primaries whose connections this host owns and replaces those that nobody reaches or that leave. */
+export class FailoverTask {
+  readonly #options: CreateOptions
+  readonly #claims: ClaimQueue
+  readonly #running = new Set<string>()
+  readonly #notBefore = new Map<string, number>()
+  #timer: NodeJS.Timeout | undefined
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+    this.#claims = ClaimQueue.create(options.self.incarnation)
+  }
+
+  static create (options: CreateOptions): FailoverTask {
+    return new FailoverTask(options)
+  }
+
+  start (): void {
+    this.#timer = setInterval(() => { this.#tick() }, TICK_MS)
+  }
+
+  close (): void {
+    clearInterval(this.#timer)
+  }
+
+  #tick (): void {
+    const { findCatalogue, clock } = this.#options
+    for (const group of findCatalogue()?.groups.keys() ?? []) {
+      if (this.#running.has(group) || (this.#notBefore.get(group) ?? -Infinity) > clock.readTime()) continue
+      this.#running.add(group)
+      void this.#checkGroup(group).finally(() => { this.#running.delete(group) })
+    }
+  }
+
+  async #checkGroup (group: string): Promise<void> {
+    const { leaders, listRecords, registry, clock } = this.#options
+    const records = listRecords(group)
+    const leader = leaders.findLeader(group, records)
+    if (records.length === 0 || !this.#isResponsible(group, leader)) return
+    const successors = records.filter(({ id, isLeaving }) => id !== leader?.id && !isLeaving)
+    if (leader === undefined) return await this.#promote(group, undefined, successors, false)
+    if (leader.isLeaving && successors.length > 0) return await this.#promote(group, leader, successors, true)
+    const owner = registry.find(leader)
+    if (clock.readTime() - owner.health.answeredAt > PROBE_AFTER_MS) await owner.probe()
+    if (!owner.health.isSuspect) return
+    if (await this.#isReachedByOthers(leader)) {
+      this.#options.logger.info('primary is reached by others', { group, database: leader.id })
+      this.#postpone(group)
+      return
+    }
+    await this.#promote(group, leader, successors, false)
+  }
+
+  /** The first host in the order of owners that answers; without a primary, the first in an order of the group. */
+  #isResponsible (group: string, leader: UpstreamRecord | undefined): boolean {
+    const { router, links, self } = this.#options
+    const order = leader === undefined ? this.#orderHosts(group) : router.listCandidates(leader)
+    return order.find((host) => host.host === self.host || links.find(host).readDownMs() === 0)?.host === self.host
+  }
+
+  #orderHosts (group: string): HostRecord[] {
+    const { hosts } = this.#options.router
+    const byName = new Map(hosts.map((host) => [host.host, host]))
+    return computeRendezvousOrder(group, [...byName.keys()]).map((host) => byName.get(host) as HostRecord)
+  }
+
+  async #isReachedByOthers (leader: UpstreamRecord): Promise<boolean> {
+    const { self } = this.#options
+    const others = this.#orderHosts(leader.group).filter(({ host }) => host !== self.host)
+    const far = others.filter(({ dataCentre }) => dataCentre !== self.dataCentre)
+    const near = others.filter(({ dataCentre }) => dataCentre === self.dataCentre)
+    const witnesses = [...far.slice(0, WITNESSES - 1), ...near, ...far.slice(WITNESSES - 1)].slice(0, WITNESSES)
+    const answers = await Promise.all(witnesses.map(async (witness) => await this.#askWitness(witness, leader.id)))
+    return answers.includes(true)
+  }
+
+  async #askWitness (witness: HostRecord, databaseId: string): Promise<boolean> {
+    const link = this.#options.links.find(witness)
+    if (!await link.prepare()) return false
+    try {
+      return (await link.request(upstreamProbe, { databaseId }, WITNESS_TIMEOUT_MS)).isReachable
+    } catch (error) {
+      this.#options.logger.info('witness did not answer', { witness: witness.host, reason: String((error as Error).message) })
+      return false
+    }
+  }
+
+  async #promote (group: string, leader: UpstreamRecord | undefined, candidates: readonly UpstreamRecord[], isPlanned: boolean): Promise<void> {
+    const { leaders, links, registry, findCatalogue, self, adapter, clock, logger } = this.#options
+    if (candidates.length === 0) return
+    const syncReplicas = findCatalogue()?.groups.get(group)?.syncReplicas ?? 0
+    const outcome = await PromotionRun.create({ group, leader, isPlanned, candidates, syncReplicas, self, adapter, registry, claims: this.#claims, clock, logger }).run()
+    if (outcome.type === 'given-up') {
+      logger.info('promotion given up', { group, reason: outcome.reason })
+      this.#postpone(group)
+      return
+    }
+    const term = leaders.findTerm(group) + 1
+    if (leader !== undefined) leaders.recordRefusal(leader)
+    leaders.recordProof(group, outcome.id, term)
+    for (const link of links.all) if (link.isUp) link.connection?.notify(leaderChanged, { group, databaseId: outcome.id, term })
+  }
+
+  #postpone (group: string): void {
+    this.#notBefore.set(group, this.#options.clock.readTime() + PAUSE_AFTER_MS)
+  }
+}
--- /dev/null
+++ b/packages/host/src/peer/peer-links.ts
@@ -0,0 +1,52 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
+import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
+import type { Logger } from 'winston'
+import { PeerLink, type PingAnswer } from './peer-link.js'
+
+interface CreateOptions {
+  hello: PeerHello
+  clock: Clock
+  logger: Logger
+  handlePing: (link: PeerLink, answer: PingAnswer, sentAt: number) => void
+}
+
+/** Links of this host to the others, made when they are wanted. */
+export class PeerLinks {
+  readonly #options: CreateOptions
+  #links = new Map<string, PeerLink>()
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+  }
+
+  static create (options: CreateOptions): PeerLinks {
+    return new PeerLinks(options)
+  }
+
+  get all (): PeerLink[] { return [...this.#links.values()] }
+
+  /** A host that started again has a new incarnation and needs a new link. */
+  find (record: HostRecord): PeerLink {
+    const known = this.#links.get(record.host)
+    if (known !== undefined && known.record.incarnation === record.incarnation) return known
+    known?.close()
+    const link = PeerLink.create({ ...this.#options, record })
+    this.#links.set(record.host, link)
+    return link
+  }
+
+  /** Closes the links to hosts that are gone. Calls under way on a link to a leaving host may still end. */
+  updateHosts (records: readonly HostRecord[]): void {
+    const present = new Set(records.map(({ host }) => host))
+    for (const [host, link] of this.#links) {
+      if (present.has(host) || link.isUp) continue
+      link.close()
+      this.#links.delete(host)
+    }
+  }
+
+  close (): void {
+    for (const link of this.#links.values()) link.close()
+  }
+}
--- /dev/null
+++ b/packages/host/src/peer/register-peer-methods.ts
@@ -0,0 +1,44 @@
+import { budgetExchange } from '@tanagerusher/protocol/peer/budget-exchange'
+import { catalogueFetch } from '@tanagerusher/protocol/peer/catalogue-fetch'
+import { hostPing } from '@tanagerusher/protocol/peer/host-ping'
+import { leaderChanged } from '@tanagerusher/protocol/peer/leader-changed'
+import { leaderPosition } from '@tanagerusher/protocol/peer/leader-position'
+import { upstreamExecute, type UpstreamExecuteResult } from '@tanagerusher/protocol/peer/upstream-execute'
+import { upstreamProbe } from '@tanagerusher/protocol/peer/upstream-probe'
+import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
+import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
+import type { HostParts } from '../program/host-parts.js'
+
+/** Age sent when there is no proof; far above every limit, and a number that any codec carries. */
+const NO_PROOF_AGE_MS = 1e9
+
+/** Answers the calls of one other host, and ends its transactions when its connection ends. */
+export function registerPeerMethods (connection: PeerConnection, parts: HostParts): void {
+  const { clock, budget, catalogue, registry, leaders, upstreams } = parts
+  const findRecord = (id: string): UpstreamRecord | undefined => upstreams.directory.find(id, clock.readTime())
+  connection.addMethod(hostPing, async () => ({
+    isLeaving: parts.isLeaving(),
+    catalogueVersion: catalogue.replica.version,
+    proofAgeMs: Math.min(NO_PROOF_AGE_MS, catalogue.replica.readProofAge(clock.readTime()))
+  }))
+  connection.addMethod(catalogueFetch, async () => ({ value: catalogue.value }))
+  connection.addMethod(budgetExchange, async ({ deposits, wants }) => ({ grants: budget.handleExchange(deposits, wants) }))
+  connection.addMethod(upstreamExecute, async (params): Promise<UpstreamExecuteResult> => {
+    const record = findRecord(params.databaseId)
+    if (record !== undefined) return await registry.find(record).execute(params)
+    return { answer: { type: 'failed', failure: 'wrong-upstream', text: 'the database is not in the directory' }, wasSent: false, waitMs: 0 }
+  })
+  connection.addMethod(leaderPosition, async ({ databaseId }) => {
+    const record = findRecord(databaseId)
+    return record === undefined ? { ageMs: 0 } : await parts.findFreshness(record.group).readLeaderPosition()
+  })
+  connection.addMethod(upstreamProbe, async ({ databaseId }) => {
+    const record = findRecord(databaseId)
+    return { isReachable: record !== undefined && await registry.find(record).probe() }
+  })
+  connection.addNotification(leaderChanged, ({ group, databaseId, term }) => { leaders.recordProof(group, databaseId, term) })
+  void Promise.all([connection.remoteHello, connection.closed]).then(
+    ([hello]) => { registry.abandonSessions(hello.incarnation) },
+    () => {} // a connection without a hello has started nothing
+  )
+}
--- /dev/null
+++ b/packages/host/src/program/host-clock.ts
@@ -0,0 +1,24 @@
+import { SuspensionDetector } from '@tanagerusher/coordination/clock/suspension-detector'
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+
+/** Monotonic clock of the host, with a check for suspensions that it does not count. */
+export class HostClock implements Clock {
+  readonly #detector = SuspensionDetector.create()
+  readonly #handleSuspended: () => void
+
+  private constructor (handleSuspended: () => void) {
+    this.#handleSuspended = handleSuspended
+  }
+
+  static create (handleSuspended: () => void): HostClock {
+    return new HostClock(handleSuspended)
+  }
+
+  readTime (): number {
+    return performance.now()
+  }
+
+  check (): void {
+    if (this.#detector.check(performance.now(), Date.now())) this.#handleSuspended()
+  }
+}
--- /dev/null
+++ b/packages/host/src/program/host-parts.ts
@@ -0,0 +1,19 @@
+import type { BudgetTask } from '../budget/budget-task.js'
+import type { CatalogueTask } from '../store/catalogue-task.js'
+import type { GroupFreshness } from '../upstream/group-freshness.js'
+import type { OwnerRegistry } from '../upstream/owner-registry.js'
+import type { UpstreamsTask } from '../store/upstreams-task.js'
+import type { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+
+/** What calls of other hosts reach. */
+export interface HostParts {
+  clock: Clock
+  budget: BudgetTask
+  catalogue: CatalogueTask
+  registry: OwnerRegistry
+  upstreams: UpstreamsTask
+  leaders: LeaderView
+  findFreshness: (group: string) => GroupFreshness
+  isLeaving: () => boolean
+}
--- /dev/null
+++ b/packages/host/src/program/host-shutdown.ts
@@ -0,0 +1,57 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { Logger } from 'winston'
+import type { CallerServer } from '../caller/caller-server.js'
+import type { HostsTask } from '../store/hosts-task.js'
+import type { OwnerRegistry } from '../upstream/owner-registry.js'
+
+interface CreateOptions {
+  /** Time until the process is killed. */
+  graceMs: number
+  callers: CallerServer
+  registry: OwnerRegistry
+  hosts: HostsTask
+  clock: Clock
+  logger: Logger
+}
+
+/** The balancer asks once a second and sends callers until two answers in a row were not ready. */
+const BALANCER_MS = 2200
+/** Open transactions have this part of the grace period to end. */
+const TRANSACTION_PART = 0.5
+/** Kept for the end of the process itself. */
+const MARGIN_MS = 600
+const STEP_MS = 50
+/** Other hosts need this long to choose other owners after the record is gone. */
+const HAND_OVER_MS = 1500
+
+/** Graceful stop: no request is cut, idle callers move on, and other hosts take the connections over. */
+export class HostShutdown {
+  readonly #options: CreateOptions
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+  }
+
+  static create (options: CreateOptions): HostShutdown {
+    return new HostShutdown(options)
+  }
+
+  async run (): Promise<void> {
+    const { graceMs, callers, hosts, clock, logger } = this.#options
+    const startedAt = clock.readTime()
+    logger.info('stopping', { sessions: callers.size, transactions: callers.openTransactions })
+    void hosts.leave()
+    while (clock.readTime() - startedAt < graceMs - MARGIN_MS) {
+      const elapsedMs = clock.readTime() - startedAt
+      if (elapsedMs >= Math.min(BALANCER_MS, graceMs * TRANSACTION_PART)) callers.closeIdle()
+      if (elapsedMs >= graceMs * TRANSACTION_PART) callers.abortTransactions('the host stops')
+      if (elapsedMs >= BALANCER_MS + HAND_OVER_MS && callers.size === 0 && !this.#isOwnerBusy()) break
+      await new Promise((resolve) => setTimeout(resolve, STEP_MS))
+    }
+    logger.info('stop ends', { sessions: callers.size, transactions: callers.openTransactions, tookMs: Math.round(clock.readTime() - startedAt) })
+  }
+
+  #isOwnerBusy (): boolean {
+    return this.#options.registry.all.some(({ load, openTransactions }) => load.running > 0 || load.waiting > 0 || openTransactions > 0)
+  }
+}
--- /dev/null
+++ b/packages/host/src/program/open-host.ts
@@ -0,0 +1,159 @@
+import { randomUUID } from 'node:crypto'
+import type { PlatformAdapter } from '@tanagerusher/coordination/common/platform-adapter'
+import { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
+import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
+import { createLogger } from '@tanagerusher/runtime/log/create-logger'
+import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
+import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
+import { PeerServer } from '@tanagerusher/transport/peer/peer-server'
+import { BudgetTask } from '../budget/budget-task.js'
+import { CallerServer } from '../caller/caller-server.js'
+import { OperationRunner } from '../caller/operation-runner.js'
+import { FailoverTask } from '../failover/failover-task.js'
+import { PeerLinks } from '../peer/peer-links.js'
+import { registerPeerMethods } from '../peer/register-peer-methods.js'
+import type { HostSettings } from '../settings/host-settings.js'
+import { CatalogueTask } from '../store/catalogue-task.js'
+import { HostsTask } from '../store/hosts-task.js'
+import { UpstreamsTask } from '../store/upstreams-task.js'
+import { GroupFreshness } from '../upstream/group-freshness.js'
+import { OwnerRegistry } from '../upstream/owner-registry.js'
+import { OwnerRouter } from '../upstream/owner-router.js'
+import { HostClock } from './host-clock.js'
+import { HostMetrics } from './host-metrics.js'
+import type { HostParts } from './host-parts.js'
+import { HostShutdown } from './host-shutdown.js'
+import { ReadinessServer } from './readiness-server.js'
+
+interface OpenOptions {
+  settings: HostSettings
+  adapter: PlatformAdapter
+}
+
+const HOUSEKEEPING_MS = 500
+const DEFAULT_MAX_CONNECTIONS = 10
+
+/** Starts all tasks of a host and wires them. Callers are served as soon as the catalogue is known. */
+export async function openHost ({ settings, adapter }: OpenOptions): Promise<{ close: () => Promise<void> }> {
+  const { host, dataCentre, region } = settings
+  const incarnation = randomUUID().slice(0, 8)
+  const self: HostRecord = { host, incarnation, address: settings.address, port: settings.internalPorts[0], dataCentre, region }
+  const logger = createLogger({ label: 'host', level: settings.logLevel, stream: 'stdout', fields: { host, incarnation } })
+  logger.info('starting', { dataCentre, region })
+  const hello: PeerHello = { host, incarnation, dataCentre, region, role: 'host', protocolVersions: [2] }
+  const freshness = new Map<string, GroupFreshness>()
+  const clock = HostClock.create(() => {
+    logger.warn('clocks moved apart: everything that was believed counts as old')
+    catalogue.replica.invalidateProof()
+    for (const group of freshness.values()) group.clear()
+  })
+  const metrics = HostMetrics.create()
+  const leaders = LeaderView.create()
+  const links = PeerLinks.create({ hello, clock, logger, handlePing: (link, answer, sentAt) => { catalogue.handlePing(link, answer, sentAt) } })
+  const listRecords = (group: string): UpstreamRecord[] => upstreams.directory.listGroup(group, clock.readTime())
+  const findFreshness = (group: string): GroupFreshness => {
+    const known = freshness.get(group) ?? GroupFreshness.create({ group, self: host, clock, leaders, links, registry, router, listRecords })
+    freshness.set(group, known)
+    return known
+  }
+  const registry: OwnerRegistry = OwnerRegistry.create({
+    connector: adapter.connector,
+    clock,
+    logger,
+    findLimit: (record) => router.findLimit(record, catalogue.replica.catalogue?.groups.get(record.group)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS),
+    events: {
+      handleLeaderProof: ({ group, id }, position, sentAt) => {
+        if (leaders.recordProof(group, id, position.term)) logger.info('leader known', { group, database: id, term: position.term })
+        findFreshness(group).record(position, sentAt)
+      },
+      handleLeaderRefusal: (record) => { leaders.recordRefusal(record) },
+      prepareReadPosition: async ({ group }, maxStalenessMs) => { await findFreshness(group).prepare(maxStalenessMs, READ_POSITION_WAIT_MS) },
+      findReadPosition: ({ group }, maxStalenessMs, floor) => findFreshness(group).findReadPosition(maxStalenessMs, floor)
+    }
+  })
+  const router = OwnerRouter.create({ self, regions: new Map(Object.entries(settings.regions)), links, registry, clock })
+  const budget = BudgetTask.create({ self: host, links, clock, logger, rateSlack: settings.rateSlack })
+  const catalogue: CatalogueTask = CatalogueTask.create({
+    store: adapter.store,
+    location: adapter.catalogueLocation,
+    decode: adapter.decodeCatalogue,
+    self: host,
+    links,
+    keyFreshnessMs: settings.keyFreshnessMs,
+    clock,
+    logger,
+    handleApplied: (applied) => { budget.updateCatalogue(applied) }
+  })
+  const upstreams = UpstreamsTask.create({ store: adapter.store, kind: adapter.upstreamKind, decode: adapter.decodeUpstreamRecord, clock, logger, handleChanged: () => {} })
+  const hosts = HostsTask.create({
+    store: adapter.store,
+    self,
+    clock,
+    logger,
+    handleHosts: (records) => {
+      router.updateHosts(records)
+      catalogue.updateHosts(records)
+      budget.updateHosts(records)
+    }
+  })
+  const failover = FailoverTask.create({
+    self, adapter, leaders, links, registry, router, listRecords, findCatalogue: () => catalogue.replica.catalogue, clock, logger
+  })
+  let isLeaving = false
+  const parts: HostParts = { clock, budget, catalogue, registry, upstreams, leaders, findFreshness, isLeaving: () => isLeaving }
+  const peers = await PeerServer.open({
+    address: settings.address, port: self.port, hello, handleConnection: (connection) => { registerPeerMethods(connection, parts) }
+  })
+  const runner = OperationRunner.create({ router, leaders, listRecords, clock, logger })
+  const [callerHost, callerPort] = settings.callerAddress.split(':')
+  const callers = await CallerServer.open({
+    address: callerHost as string,
+    port: Number(callerPort),
+    incarnation,
+    services: { catalogue: catalogue.replica, budget, runner, clock, logger, metrics, checkClocks: () => { clock.check() }, isLeaving: () => isLeaving },
+    createCodec: adapter.createCallerCodec
+  })
+  const [readinessHost, readinessPort] = settings.readinessAddress.split(':')
+  const readiness = await ReadinessServer.open({
+    address: readinessHost as string, port: Number(readinessPort), path: adapter.readinessPath, isReady: () => !isLeaving && catalogue.replica.catalogue !== undefined
+  })
+  router.updateHosts([self])
+  catalogue.updateHosts([self])
+  catalogue.start()
+  void upstreams.start()
+  void hosts.start()
+  budget.start()
+  failover.start()
+  const housekeeping = setInterval(() => {
+    clock.check()
+    registry.update((id) => upstreams.directory.find(id, clock.readTime()))
+  }, HOUSEKEEPING_MS)
+  logger.info('started')
+  const closeAll = (): void => {
+    clearInterval(housekeeping)
+    failover.close()
+    budget.close()
+    catalogue.close()
+    upstreams.close()
+    hosts.close()
+    callers.close()
+    registry.close()
+    links.close()
+    peers.destroy()
+    readiness.close()
+    adapter.store.close()
+    logger.info('stopped')
+  }
+  const shutdown = HostShutdown.create({ graceMs: settings.graceSeconds * 1000, callers, registry, hosts, clock, logger })
+  return {
+    close: async () => {
+      isLeaving = true
+      failover.close()
+      await shutdown.run()
+      closeAll()
+    }
+  }
+}
+
+/** A replica read waits this long for a first position before it goes to the primary. */
+const READ_POSITION_WAIT_MS = 150
--- /dev/null
+++ b/packages/host/src/settings/host-settings.ts
@@ -0,0 +1,24 @@
+import { z } from 'zod'
+
+const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'expected ip:port')
+
+/** Settings of a host that runs everything in one process. */
+export const hostSettings = z.looseObject({
+  host: z.string().min(1).describe('Name of the host, unique in the fleet'),
+  address: z.ipv4().describe('IP address that peers use'),
+  dataCentre: z.string().min(1),
+  region: z.string().min(1),
+  regions: z.record(z.string(), z.string()).describe('Region of each data centre'),
+  callerAddress: address.describe('Where callers connect'),
+  readinessAddress: address.describe('Where the balancer asks whether the host takes callers'),
+  internalPorts: z.tuple([z.number().int(), z.number().int()]).describe('First and last port for peers; the first is used'),
+  storeAddress: address.describe('Object store of the platform'),
+  promotionAddress: address.describe('Promotion endpoint of the platform'),
+  graceSeconds: z.number().positive().default(6).describe('Time between the signal to stop and the end of the process'),
+  keyFreshnessMs: z.number().positive().default(5000).describe('A withdrawn key stops working within this time'),
+  rateSlack: z.number().nonnegative().default(0).describe('Requests of an organisation over its rate that are accepted in a window'),
+  metricsPort: z.number().int().optional().describe('Port of /metrics; absent: not served'),
+  logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info')
+})
+
+export type HostSettings = z.infer<typeof hostSettings>
--- /dev/null
+++ b/packages/host/src/store/hosts-task.ts
@@ -0,0 +1,120 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { ObjectStore, StoreObject } from '@tanagerusher/coordination/common/object-store'
+import { hostRecordSchema, type HostRecord } from '@tanagerusher/state/upstream/host-record'
+import type { Logger } from 'winston'
+import { ObjectWatcher } from './object-watcher.js'
+
+interface CreateOptions {
+  store: ObjectStore
+  self: HostRecord
+  clock: Clock
+  logger: Logger
+  handleHosts: (hosts: readonly HostRecord[]) => void
+}
+
+const KIND = 'tanagerusher-hosts'
+/** Hosts come and go seldom, and a host that is gone is found out by its link. */
+const WATCH_WAIT_MS = 10_000
+const RETRY_MS = 300
+const REGISTER_TRIES = 100
+
+/** Writes this host's record at the start, removes it at the end, and keeps the records of all hosts. */
+export class HostsTask {
+  readonly #options: CreateOptions
+  readonly #watcher: ObjectWatcher
+  readonly #records = new Map<string, { record: HostRecord, revision: number }>()
+  #isLeaving = false
+
+  private constructor (options: CreateOptions) {
+    const { store, clock, logger, self } = options
+    this.#options = options
+    this.#records.set(self.host, { record: self, revision: 0 })
+    this.#watcher = ObjectWatcher.create({
+      store,
+      kind: KIND,
+      waitMs: WATCH_WAIT_MS,
+      clock,
+      logger,
+      events: {
+        handleList: (objects) => { this.#handleList(objects) },
+        handleChange: (object, isRemoved) => { this.#handleChange(object, isRemoved) },
+        handleConfirmed: () => {}
+      }
+    })
+  }
+
+  static create (options: CreateOptions): HostsTask {
+    return new HostsTask(options)
+  }
+
+  get hosts (): HostRecord[] { return [...this.#records.values()].map(({ record }) => record) }
+
+  async start (): Promise<void> {
+    void this.#register()
+    await this.#watcher.run()
+  }
+
+  /** Removes the record, so that other hosts choose other owners. */
+  async leave (): Promise<void> {
+    this.#isLeaving = true
+    const { store, self, logger } = this.#options
+    const revision = this.#records.get(self.host)?.revision
+    if (revision === undefined || revision === 0) return
+    const answer = await store.remove(KIND, self.host, revision)
+    logger.info('left the fleet', { outcome: answer.type })
+  }
+
+  /** Removes the record of a host that is gone for good. */
+  async removeHost (host: string): Promise<void> {
+    const known = this.#records.get(host)
+    if (known === undefined) return
+    const answer = await this.#options.store.remove(KIND, host, known.revision)
+    this.#options.logger.info('record of a lost host removed', { host, outcome: answer.type })
+  }
+
+  close (): void {
+    this.#watcher.close()
+  }
+
+  async #register (): Promise<void> {
+    const { store, self, logger } = this.#options
+    for (let tries = 0; tries < REGISTER_TRIES && !this.#isLeaving; tries++) {
+      const created = await store.create(KIND, self.host, self)
+      const answer = created.type === 'conflict' ? await store.replace(KIND, self.host, self) : created
+      if (answer.type === 'ok') {
+        this.#records.set(self.host, { record: self, revision: answer.value.revision })
+        logger.info('joined the fleet', { revision: answer.value.revision })
+        return
+      }
+      logger.warn('record was not written', { ...answer })
+      await new Promise((resolve) => setTimeout(resolve, RETRY_MS))
+    }
+  }
+
+  #handleList (objects: readonly StoreObject[]): void {
+    const own = this.#records.get(this.#options.self.host)
+    this.#records.clear()
+    if (own !== undefined) this.#records.set(this.#options.self.host, own)
+    for (const object of objects) this.#take(object)
+    this.#options.handleHosts(this.hosts)
+  }
+
+  #handleChange (object: StoreObject, isRemoved: boolean): void {
+    const { self } = this.#options
+    if (!isRemoved) this.#take(object)
+    else if (object.name !== self.host) this.#records.delete(object.name)
+    else if (!this.#isLeaving) void this.#register()
+    this.#options.handleHosts(this.hosts)
+  }
+
+  #take (object: StoreObject): void {
+    const parsed = hostRecordSchema.safeParse(object.value)
+    if (!parsed.success) {
+      this.#options.logger.warn('host record cannot be read', { name: object.name })
+      return
+    }
+    const { self } = this.#options
+    const record = parsed.data.host === self.host ? self : parsed.data
+    this.#records.set(object.name, { record, revision: object.revision })
+  }
+}
--- /dev/null
+++ b/packages/host/src/upstream/owner-registry.ts
@@ -0,0 +1,76 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { UpstreamConnector } from '@tanagerusher/coordination/common/upstream-connection'
+import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
+import type { Logger } from 'winston'
+import { DatabaseOwner, type OwnerEvents } from './database-owner.js'
+
+interface CreateOptions {
+  connector: UpstreamConnector
+  clock: Clock
+  logger: Logger
+  events: OwnerEvents
+  /** Connections that this host may hold to a database. */
+  findLimit: (record: UpstreamRecord) => number
+}
+
+/** An owner that nobody asked for so long gives its connections back. */
+const IDLE_MS = 30_000
+
+/** The databases whose connections this host owns or holds in the place of another. */
+export class OwnerRegistry {
+  readonly #options: CreateOptions
+  readonly #owners = new Map<string, DatabaseOwner>()
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+  }
+
+  static create (options: CreateOptions): OwnerRegistry {
+    return new OwnerRegistry(options)
+  }
+
+  get all (): DatabaseOwner[] { return [...this.#owners.values()] }
+
+  get (id: string): DatabaseOwner | undefined { return this.#owners.get(id) }
+
+  /** The owner of a database, made when it is first asked for. A database that started again is another one. */
+  find (record: UpstreamRecord): DatabaseOwner {
+    const known = this.#owners.get(record.id)
+    if (known !== undefined && known.record.startedAt === record.startedAt && known.record.address === record.address) {
+      known.updateRecord(record)
+      return known
+    }
+    known?.close()
+    const { connector, clock, logger, events, findLimit } = this.#options
+    const owner = DatabaseOwner.create({ record, connector, clock, logger, events })
+    owner.updateLimit(findLimit(record))
+    this.#owners.set(record.id, owner)
+    return owner
+  }
+
+  /** Closes the owners of databases that are gone or not used, and adjusts the limits of the others. */
+  update (findRecord: (id: string) => UpstreamRecord | undefined): void {
+    const now = this.#options.clock.readTime()
+    for (const [id, owner] of this.#owners) {
+      const record = findRecord(id)
+      const isIdle = now - owner.usedAt > IDLE_MS && owner.openTransactions === 0
+      if (record === undefined || isIdle) {
+        owner.close()
+        this.#owners.delete(id)
+        continue
+      }
+      owner.updateRecord(record)
+      owner.abandonRested()
+      owner.updateLimit(this.#options.findLimit(record))
+    }
+  }
+
+  abandonSessions (incarnation: string): void {
+    for (const owner of this.#owners.values()) owner.abandonSessions((session) => session.startsWith(`${incarnation}/`))
+  }
+
+  close (): void {
+    for (const owner of this.#owners.values()) owner.close()
+    this.#owners.clear()
+  }
+}
--- a/packages/protocol/src/peer/peer-hello.ts
+++ b/packages/protocol/src/peer/peer-hello.ts
@@ -8,7 +8,7 @@
     incarnation: z.string(),
     dataCentre: z.string(),
     region: z.string(),
-    role: z.enum(['entry', 'pool', 'control', 'operator', 'load']),
+    role: z.enum(['host', 'entry', 'pool', 'control', 'operator', 'load']),
     protocolVersions: z.array(z.number().int()).min(1)
   })
 } as const
--- /dev/null
+++ b/packages/protocol/src/peer/upstream-execute.ts
@@ -0,0 +1,50 @@
+import { positionSchema } from '@tanagerusher/state/position/position'
+import { z } from 'zod'
+
+const access = z.enum(['read', 'write'])
+
+const operation = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('begin'), isReadOnly: z.boolean() }),
+  z.object({ type: z.literal('run'), id: z.string(), text: z.string(), access, isInTransaction: z.boolean() }),
+  z.object({ type: z.literal('commit'), id: z.string() }),
+  z.object({ type: z.literal('rollback') })
+])
+
+const failure = z.enum([
+  'busy', 'unknown-statement', 'lagging', 'not-primary', 'wrong-upstream', 'connection-limit', 'failed', 'timeout', 'aborted', 'outcome-unknown',
+  'entry-unknown', 'key-unknown', 'malformed'
+])
+
+const answer = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('done'), proof: z.string(), rows: z.array(z.string()), position: positionSchema.optional() }),
+  z.object({ type: z.literal('failed'), failure, text: z.string(), position: positionSchema.optional() }),
+  z.object({ type: z.literal('lost'), reason: z.string() })
+])
+
+/** Runs one operation of a caller's session at a database whose connections the receiving host owns. */
+export const upstreamExecute = {
+  method: 'upstream.execute',
+  params: z.object({
+    /** Unique in the fleet; a transaction is pinned to its connection by it. */
+    session: z.string(),
+    databaseId: z.string(),
+    organisation: z.string(),
+    operation,
+    values: z.array(z.tuple([z.string(), z.string()])),
+    needed: z.object({ name: z.string(), access, shape: z.string() }).optional(),
+    /** Absent: the database must prove that it leads. */
+    replicaRead: z.object({ maxStalenessMs: z.number(), floor: positionSchema.optional() }).optional(),
+    timeLeftMs: z.number(),
+    priority: z.number().int()
+  }),
+  result: z.object({
+    answer,
+    /** Whether the statement was sent to the database. */
+    wasSent: z.boolean(),
+    /** Time that a further statement is expected to wait there. */
+    waitMs: z.number()
+  })
+} as const
+
+export type UpstreamExecuteParams = z.infer<typeof upstreamExecute.params>
+export type UpstreamExecuteResult = z.infer<typeof upstreamExecute.result>
--- /dev/null
+++ b/packages/protocol/src/peer/upstream-probe.ts
@@ -0,0 +1,8 @@
+import { z } from 'zod'
+
+/** Asks a host whether it reaches a database. */
+export const upstreamProbe = {
+  method: 'upstream.probe',
+  params: z.object({ databaseId: z.string() }),
+  result: z.object({ isReachable: z.boolean() })
+} as const
--- a/packages/runtime/src/log/create-logger.ts
+++ b/packages/runtime/src/log/create-logger.ts
@@ -6,14 +6,17 @@
   level?: string
   /** Fields of every line: host, data centre. */
   fields?: Record<string, string>
+  stream?: 'stdout' | 'stderr'
 }
 
-/** Logger that writes JSON lines to standard error. Never pass a caller's key to it. */
-export function createLogger ({ label, level = 'info', fields = {} }: CreateLoggerOptions): winston.Logger {
+const ALL_LEVELS = ['error', 'warn', 'info', 'http', 'verbose', 'debug', 'silly']
+
+/** Logger that writes JSON lines, to standard error unless told otherwise. Never pass a caller's key to it. */
+export function createLogger ({ label, level = 'info', fields = {}, stream = 'stderr' }: CreateLoggerOptions): winston.Logger {
   return winston.createLogger({
     level,
     defaultMeta: { label, ...fields },
     format: winston.format.combine(winston.format.timestamp(), winston.format.errors({ stack: true }), winston.format.json()),
-    transports: [new winston.transports.Console({ stderrLevels: ['error', 'warn', 'info', 'http', 'verbose', 'debug', 'silly'] })]
+    transports: [new winston.transports.Console({ stderrLevels: stream === 'stderr' ? ALL_LEVELS : [] })]
   })
 }
--- a/packages/runtime/src/process/run-program.ts
+++ b/packages/runtime/src/process/run-program.ts
@@ -14,6 +14,8 @@
   name: string
   description: string
   schema: Schema
+  /** Used when the command line names no settings file. */
+  defaultConfigFile?: string | undefined
   start: (settings: z.infer<Schema>) => Promise<Service>
 }
 
@@ -27,10 +29,11 @@
   const command = new Command(options.name)
     .description(options.description)
     .version(VERSION)
-    .requiredOption('--config <file>', 'settings file (JSON)')
+    .option('--config <file>', 'settings file (JSON)', options.defaultConfigFile)
     .option('--check-config', 'check the settings and exit', false)
     .exitOverride((error) => process.exit(error.exitCode === 0 ? exitCodes.success : exitCodes.usage))
-  const flags = command.parse().opts<{ config: string, checkConfig: boolean }>()
+  const flags = command.parse().opts<{ config?: string, checkConfig: boolean }>()
+  if (flags.config === undefined) return command.error("error: required option '--config <file>' not specified")
   const settings = loadSettings(options.schema, flags.config)
   if (flags.checkConfig) {
     console.log('settings are valid')
--- /dev/null
+++ b/packages/state/src/catalogue/catalogue-entry.ts
@@ -0,0 +1,21 @@
+/** Which reads an entry promises: the newest data, data of a stated age, or that plus the session's own writes. */
+export type Consistency = 'primary' | 'bounded-staleness' | 'read-your-writes'
+
+/** One entry of the catalogue: the name under which callers connect, and what they get there. */
+export interface CatalogueEntry {
+  /** Name that callers give when they connect. */
+  database: string
+  /** Replicated group of databases that serves it. */
+  group: string
+  consistency: Consistency
+  /** Age up to which a read may miss acknowledged commits of other sessions. */
+  maxStalenessMs: number
+  /** Limit for one statement. */
+  statementTimeoutMs: number
+  /** Latency objective of a whole operation. */
+  targetLatencyMs: number
+  /** 0 is the most urgent. */
+  priority: number
+  /** Open to callers without a key. */
+  isPublic: boolean
+}
--- /dev/null
+++ b/packages/state/src/catalogue/catalogue.ts
@@ -0,0 +1,14 @@
+import type { CatalogueEntry } from './catalogue-entry.js'
+
+/** One version of what operators configured, decoded once. */
+export interface Catalogue {
+  version: number
+  /** By the name under which callers connect. */
+  entries: ReadonlyMap<string, CatalogueEntry>
+  /** Organisation of each key in force. */
+  organisationByKey: ReadonlyMap<string, string>
+  organisations: ReadonlyMap<string, { ratePerSecond: number, burst: number }>
+  groups: ReadonlyMap<string, { maxConnections: number, syncReplicas: number }>
+  /** A transaction that rests longer may be ended. */
+  transactionIdleMs: number
+}
--- /dev/null
+++ b/packages/state/src/upstream/host-record.ts
@@ -0,0 +1,13 @@
+import { z } from 'zod'
+
+/** What a host of the fleet writes about itself when it starts. */
+export const hostRecordSchema = z.object({
+  host: z.string().min(1),
+  incarnation: z.string().min(1),
+  address: z.string().min(1),
+  port: z.number().int().positive(),
+  dataCentre: z.string(),
+  region: z.string()
+})
+
+export type HostRecord = z.infer<typeof hostRecordSchema>
--- /dev/null
+++ b/packages/state/src/upstream/statement-failure.ts
@@ -0,0 +1,15 @@
+/** Why a database, or the proxy in its place, did not carry a statement out. */
+export type StatementFailure =
+  | 'busy'
+  | 'unknown-statement'
+  | 'lagging'
+  | 'not-primary'
+  | 'wrong-upstream'
+  | 'connection-limit'
+  | 'failed'
+  | 'timeout'
+  | 'aborted'
+  | 'outcome-unknown'
+  | 'entry-unknown'
+  | 'key-unknown'
+  | 'malformed'
