Keep slots from waiting for connections; begin transactions with their first statement

Silent store sockets were taken from the pool again and again, so hosts without a proof refused for longer than the fault. LOST at SIGTERM: a session was ended while its next request was on the way in, or after the last answer could be written. Change: a slot is only given to an organisation that has a connection or room for one; statements of open transactions go first; a transaction takes its connection with its first statement; transactions leave as many connections as there are slots; idle sockets and connections are closed after one falls silent; sessions are ended after pending input was read, answers have a deadline at SIGTERM; a host without a fresh proof is not ready.

--- a/packages/coordination/src/budget/token-exchange.ts
+++ b/packages/coordination/src/budget/token-exchange.ts
@@ -83,15 +83,15 @@
     return { tokens: holding?.tokens ?? 0, demand: holding === undefined ? 0 : readDemand(holding, now) }
   }
 
-  /** What to send to the budget homes now; deposits are taken out of the holdings. */
-  takeOrder (now: number): ExchangeOrder {
+  /** What to send to the budget homes now; deposits are taken out of the holdings. An order of nothing need not be sent. */
+  takeOrder (now: number, withDeposits: boolean): ExchangeOrder {
     const order: ExchangeOrder = { deposits: {}, wants: {} }
     for (const [name, { ratePerSecond }] of this.#limits) {
       const holding = this.#fill(name, now)
       if (holding === undefined || !Number.isFinite(ratePerSecond)) continue
       const wanted = computeWanted(holding, now)
       if (wanted - holding.tokens > MINIMUM_AMOUNT) order.wants[name] = wanted - holding.tokens
-      else if (holding.tokens - wanted > MINIMUM_AMOUNT) {
+      else if (withDeposits && holding.tokens - wanted > MINIMUM_AMOUNT) {
         order.deposits[name] = holding.tokens - wanted
         holding.tokens = wanted
       }
--- a/packages/coordination/src/fairness/compute-connection-limit.ts
+++ b/packages/coordination/src/fairness/compute-connection-limit.ts
@@ -7,8 +7,8 @@
   isActing: boolean
 }
 
-const FIRST_PART = 0.65
-const SECOND_PART = 0.25
+const FIRST_PART = 0.75
+const SECOND_PART = 0.15
 /** Enough for one request and one probe of a host that cannot reach the owners. */
 const OTHERS = 2
 
--- a/packages/coordination/src/fairness/fair-queue.ts
+++ b/packages/coordination/src/fairness/fair-queue.ts
@@ -93,12 +93,12 @@
     return undefined
   }
 
-  /** Records how long a request that was taken held its slot. */
+  /** Records how long a request held its slot, also one that did not wait in the queue. */
   finish (id: string, organisation: string, costMs: number): void {
-    const charged = this.#charged.get(id)
+    const charged = this.#charged.get(id) ?? 0
     const flow = this.#flows.get(organisation)
     this.#charged.delete(id)
-    if (charged === undefined || flow === undefined) return
+    if (flow === undefined) return
     flow.virtualStart += (costMs - charged) / flow.weight
     // The first statements weigh fully, so that an organisation with long ones is recognised at once.
     flow.meanCostMs += (costMs - flow.meanCostMs) * Math.max(COST_SMOOTHING, 1 / ++flow.finished)
--- a/packages/coordination/src/fairness/slot-scheduler.ts
+++ b/packages/coordination/src/fairness/slot-scheduler.ts
@@ -43,14 +43,25 @@
     return this.#queue.enqueue(request, now)
   }
 
-  /** Takes the next request that may run now; it holds a slot until `finish`. */
-  start (now: number): QueuedRequest | undefined {
+  /**
+   * Takes the next request that may run now; it holds a slot until `finish`. `hasConnection` keeps an organisation waiting
+   * that could not use its slot.
+   */
+  start (now: number, hasConnection: (organisation: string) => boolean = () => true): QueuedRequest | undefined {
     if (this.#paused || this.#holders.size >= this.#slots || this.#queue.size === 0) return undefined
-    const request = this.#queue.take((organisation, meanCostMs) => this.#isEligible(organisation, meanCostMs, now))
+    const request = this.#queue.take((organisation, meanCostMs) => this.#isEligible(organisation, meanCostMs, now) && hasConnection(organisation))
     if (request !== undefined) this.#holders.set(request.id, { organisation: request.organisation, startedAt: now })
     return request
   }
 
+  /** Gives a free slot to a request that goes ahead of the queue. False when there is none. */
+  startAhead (id: string, organisation: string, now: number): boolean {
+    if (this.#paused || this.#holders.size >= this.#slots) return false
+    this.#activeAt.set(organisation, now)
+    this.#holders.set(id, { organisation, startedAt: now })
+    return true
+  }
+
   finish (id: string, now: number): void {
     const holder = this.#holders.get(id)
     if (holder === undefined) return
--- a/packages/coordination/src/outcome/decide-statement-outcome.ts
+++ b/packages/coordination/src/outcome/decide-statement-outcome.ts
@@ -24,6 +24,6 @@
     return { type: 'answer', answer: { type: 'failed', failure: 'outcome-unknown', text: answer.reason, position: undefined } }
   }
   if (answer.failure === 'unknown-statement') return { type: 'answer', answer }
-  if (NOT_RUN.has(answer.failure) || !mayHaveRun) return { type: 'retry', reason: answer.failure }
+  if (NOT_RUN.has(answer.failure) || !mayHaveRun) return { type: 'retry', reason: `${answer.failure}: ${answer.text}` }
   return { type: 'answer', answer }
 }
--- a/packages/host/src/budget/budget-task.ts
+++ b/packages/host/src/budget/budget-task.ts
@@ -23,6 +23,8 @@
 interface Waiter { organisation: string, resolve: (isTaken: boolean) => void, deadline: number }
 
 const EXCHANGE_EVERY_MS = 250
+/** Deposits alone may wait; they only fill the pool. */
+const DEPOSIT_EVERY_MS = 1000
 /** Soonest exchange after the last one, when a request waits for a token. */
 const EXCHANGE_SOON_MS = 60
 const EXCHANGE_TIMEOUT_MS = 600
@@ -40,6 +42,7 @@
   #hosts: readonly HostRecord[] = []
   #waiters: Waiter[] = []
   #exchangedAt = -Infinity
+  #depositedAt = -Infinity
   #timer: NodeJS.Timeout | undefined
   #isClosed = false
 
@@ -112,7 +115,9 @@
     if (this.#isClosed) return
     const now = this.#options.clock.readTime()
     this.#exchangedAt = now
-    const order = this.#exchange.takeOrder(now)
+    const isDepositDue = now - this.#depositedAt >= DEPOSIT_EVERY_MS
+    if (isDepositDue) this.#depositedAt = now
+    const order = this.#exchange.takeOrder(now, isDepositDue)
     for (const [home, part] of this.#splitByHome(order)) void this.#exchangeWith(home, part)
     this.#serveWaiters()
     clearTimeout(this.#timer)
--- a/packages/host/src/caller/caller-server.ts
+++ b/packages/host/src/caller/caller-server.ts
@@ -43,7 +43,7 @@
   }
 
   stopAccepting (): void {
-    this.#server.close()
+    if (this.#server.listening) this.#server.close()
   }
 
   close (): void {
--- a/packages/host/src/caller/caller-services.ts
+++ b/packages/host/src/caller/caller-services.ts
@@ -15,5 +15,6 @@
   metrics: HostMetrics
   /** Checks the clocks for a suspension; called before a decision that rests on the age of something. */
   checkClocks: () => void
-  isLeaving: () => boolean
+  /** Time by which the last answer must be written when the host stops; undefined while it does not. */
+  findAnswerDeadline: () => number | undefined
 }
--- a/packages/host/src/caller/caller-task.ts
+++ b/packages/host/src/caller/caller-task.ts
@@ -3,11 +3,13 @@
 import type { CallerCodec, CallerMessage } from '@tanagerusher/coordination/common/caller-codec'
 import { decideTransactionFailure } from '@tanagerusher/coordination/outcome/decide-transaction-failure'
 import { CallerSession } from '@tanagerusher/coordination/session/caller-session'
+import type { UpstreamExecuteResult } from '@tanagerusher/protocol/peer/upstream-execute'
 import type { CallerStatement } from '@tanagerusher/state/upstream/caller-statement'
+import type { StatementAnswer } from '@tanagerusher/state/upstream/statement-answer'
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
 import type { CallerServices } from './caller-services.js'
 import type { OpenTransaction } from './open-transaction.js'
-import type { BeginResult, OperationContext } from './operation-runner.js'
+import type { OperationContext, SingleStatement } from './operation-runner.js'
 
 interface CreateOptions {
   socket: Socket
@@ -48,6 +50,8 @@
   #transactions = 0
   #idleTimer: NodeJS.Timeout | undefined
   #isClosed = false
+  /** The answer to a further request could not be written any more. */
+  #isEnding = false
 
   private constructor ({ socket, codec, services, name, handleClosed }: CreateOptions) {
     this.#socket = socket
@@ -72,9 +76,13 @@
   get isIdle (): boolean { return !this.#isRunning && this.#messages.length === 0 && this.#transaction === undefined }
   get isInTransaction (): boolean { return this.#transaction !== undefined }
 
-  /** Ends an idle session. */
+  /** Ends an idle session. What has arrived meanwhile is read first; what arrives later is not run. */
   closeIdle (): void {
-    if (this.isIdle) this.#socket.end()
+    setImmediate(() => {
+      if (!this.isIdle || this.#isEnding) return
+      this.#isEnding = true
+      this.#socket.end()
+    })
   }
 
   /** Rolls an open transaction back; the caller's next statement in it is refused. */
@@ -89,6 +97,7 @@
   }
 
   #receive (bytes: Buffer): void {
+    if (this.#isEnding) return
     try {
       this.#messages.push(...this.#codec.read(bytes))
     } catch {
@@ -114,8 +123,10 @@
   }
 
   async #handle (message: CallerMessage): Promise<void> {
-    if (message.type === 'quit') this.#socket.end()
-    else if (message.type === 'start') await this.#handleStart(message.database, message.key)
+    if (message.type === 'quit') {
+      this.#isEnding = true
+      this.#socket.end()
+    } else if (message.type === 'start') await this.#handleStart(message.database, message.key)
     else if (message.type === 'invalid' || this.#start === undefined) this.#refuse('malformed', 'a connection begins with START')
     else await this.#handleStatement(message.id, message.statement)
   }
@@ -167,9 +178,8 @@
     const allowed = await this.#admit(id)
     if (allowed === undefined) return
     const session = `${this.#name}#${++this.#transactions}`
-    const context = this.#buildContext(session, allowed)
     this.#transaction = {
-      session, entry: allowed.entry, organisation: context.organisation, begun: this.#services.runner.begin(context, isReadOnly), isReadOnly, failure: undefined
+      session, entry: allowed.entry, organisation: allowed.organisation ?? PUBLIC_ORGANISATION, isReadOnly, place: undefined, failure: undefined
     }
     this.#session.state = 'transaction'
     this.#answerOwn()
@@ -181,7 +191,7 @@
       this.#fail(id, 'malformed', 'no transaction is open')
       return
     }
-    const result = transaction.failure === undefined ? await this.#runPinned(transaction, { type: 'commit', id }, undefined) : undefined
+    const result = transaction.failure === undefined ? await this.#commit(transaction, id) : undefined
     this.#transaction = undefined
     this.#session.state = 'idle'
     if (result === undefined) {
@@ -212,16 +222,17 @@
       return
     }
     const needed = statement.type === 'execute' && prepared !== undefined ? { name: statement.name, access: prepared.access, shape: prepared.shape } : undefined
-    if (this.#transaction !== undefined) await this.#runInTransaction(this.#transaction, id, { text: statement.text, access, needed })
-    else await this.#runSingle(id, { text: statement.text, access, needed })
+    if (this.#transaction !== undefined) await this.#runInTransaction(this.#transaction, { id, text: statement.text, access, needed })
+    else await this.#runSingle({ id, text: statement.text, access, needed })
   }
 
-  async #runSingle (id: string, statement: { text: string, access: 'read' | 'write', needed: { name: string, access: 'read' | 'write', shape: string } | undefined }): Promise<void> {
+  async #runSingle (statement: SingleStatement): Promise<void> {
+    const { id } = statement
     const allowed = await this.#admit(id)
     if (allowed === undefined) return
     const { runner, clock, metrics } = this.#services
     const startedAt = clock.readTime()
-    const answer = await runner.runSingle(this.#buildContext(this.#name, allowed), { id, ...statement })
+    const answer = await runner.runSingle(this.#buildContext(this.#name, allowed), statement)
     metrics.recordStatement(answer.type === 'done' ? 'done' : answer.failure, clock.readTime() - startedAt)
     if (answer.type === 'failed') {
       this.#fail(id, answer.failure, answer.text)
@@ -231,7 +242,7 @@
     this.#write(this.#codec.formatDone(answer.rows, answer.proof, 'idle', answer.position))
   }
 
-  async #runInTransaction (transaction: OpenTransaction, id: string, { text, access, needed }: { text: string, access: 'read' | 'write', needed: { name: string, access: 'read' | 'write', shape: string } | undefined }): Promise<void> {
+  async #runInTransaction (transaction: OpenTransaction, { id, text, access, needed }: SingleStatement): Promise<void> {
     const check = this.#check(this.#start?.database ?? '', this.#start?.key)
     if (check.type === 'refused' && check.reason !== 'entry-unknown') {
       const { failure, text: reason } = describeRefusal(check.reason)
@@ -243,12 +254,7 @@
       this.#failStatement(id, 'not-primary', 'the transaction only reads')
       return
     }
-    const result = await this.#runPinned(transaction, { type: 'run', id, text, access, isInTransaction: true }, needed)
-    if (result === undefined) {
-      this.#failStatement(id, 'busy', transaction.failure ?? 'the transaction was not begun')
-      return
-    }
-    const { answer } = result
+    const answer = await this.#runStatement(transaction, { id, text, access, needed })
     if (answer.type === 'done') {
       this.#write(this.#codec.formatDone(answer.rows, answer.proof, 'transaction', answer.position))
       return
@@ -257,16 +263,31 @@
     this.#failStatement(id, failure, reason)
   }
 
-  /** Runs a statement where the transaction is pinned; undefined when it was never begun there. */
-  async #runPinned (transaction: OpenTransaction, operation: Parameters<CallerServices['runner']['runPinned']>[2], needed: Parameters<CallerServices['runner']['runPinned']>[3]) {
-    const begun: BeginResult = await transaction.begun
-    if (begun.type === 'failed') {
-      transaction.failure = begun.text
-      return undefined
+  /** Runs a statement where the transaction is pinned; the first one opens it there. */
+  async #runStatement (transaction: OpenTransaction, statement: SingleStatement): Promise<StatementAnswer> {
+    const { runner } = this.#services
+    const context = this.#buildTransactionContext(transaction)
+    if (transaction.place !== undefined) {
+      const { id, text, access, needed } = statement
+      const { result } = await runner.runPinned(context, transaction.place, { type: 'run', id, text, access, transaction: 'joins', isReadOnly: transaction.isReadOnly }, needed)
+      return result.answer
     }
-    const context = this.#buildContext(transaction.session, { type: 'allowed', entry: transaction.entry, organisation: transaction.organisation })
-    const { result } = await this.#services.runner.runPinned(context, begun.place, operation, needed)
-    return result
+    const begun = await runner.begin(context, transaction.isReadOnly, statement)
+    if (begun.type === 'failed') return begun
+    transaction.place = begun.place
+    return begun.answer
+  }
+
+  /** Undefined when the transaction could not be opened. */
+  async #commit (transaction: OpenTransaction, id: string): Promise<UpstreamExecuteResult | undefined> {
+    const { runner } = this.#services
+    const context = this.#buildTransactionContext(transaction)
+    if (transaction.place === undefined) {
+      const begun = await runner.begin(context, transaction.isReadOnly, undefined)
+      if (begun.type === 'failed') return undefined
+      transaction.place = begun.place
+    }
+    return (await runner.runPinned(context, transaction.place, { type: 'commit', id }, undefined)).result
   }
 
   /** Checks the key and takes a token. Undefined when the statement was refused. */
@@ -296,7 +317,7 @@
       organisation: organisation ?? PUBLIC_ORGANISATION,
       values: this.#session.values,
       floor: this.#session.floor,
-      deadline: this.#services.clock.readTime() + entry.statementTimeoutMs * USED_PART
+      deadline: Math.min(this.#services.clock.readTime() + entry.statementTimeoutMs * USED_PART, this.#services.findAnswerDeadline() ?? Infinity)
     }
   }
 
@@ -312,13 +333,14 @@
     this.#releaseTransaction(transaction)
   }
 
-  /** Rolls back at the database, wherever the transaction has got to. */
+  /** Rolls back at the database, if the transaction has got there. */
   #releaseTransaction (transaction: OpenTransaction): void {
-    void transaction.begun.then(async (begun) => {
-      if (begun.type !== 'begun') return
-      const context = this.#buildContext(transaction.session, { type: 'allowed', entry: transaction.entry, organisation: transaction.organisation })
-      await this.#services.runner.runPinned(context, begun.place, { type: 'rollback' }, undefined)
-    })
+    if (transaction.place !== undefined) this.#services.runner.rollback(this.#buildTransactionContext(transaction), transaction.place)
+    transaction.place = undefined
+  }
+
+  #buildTransactionContext ({ session, entry, organisation }: OpenTransaction): OperationContext {
+    return this.#buildContext(session, { type: 'allowed', entry, organisation })
   }
 
   #watchIdleTransaction (): void {
@@ -343,6 +365,7 @@
 
   #refuse (failure: StatementFailure, text: string): void {
     this.#write(this.#codec.formatRefusal(failure, text))
+    this.#isEnding = true
     this.#socket.end()
   }
 
--- a/packages/host/src/caller/open-transaction.ts
+++ b/packages/host/src/caller/open-transaction.ts
@@ -1,5 +1,5 @@
 import type { CatalogueEntry } from '@tanagerusher/state/catalogue/catalogue-entry'
-import type { BeginResult } from './operation-runner.js'
+import type { TransactionPlace } from './operation-runner.js'
 
 /** A caller's transaction from its BEGIN to its end. */
 export interface OpenTransaction {
@@ -7,9 +7,9 @@
   session: string
   entry: CatalogueEntry
   organisation: string
-  /** It is begun at the database while the caller pauses. */
-  begun: Promise<BeginResult>
   isReadOnly: boolean
+  /** Where it is pinned; undefined until its first statement has run. */
+  place: TransactionPlace | undefined
   /** Why it can only be ended; undefined while it is sound. */
   failure: string | undefined
 }
--- a/packages/host/src/caller/operation-runner.ts
+++ b/packages/host/src/caller/operation-runner.ts
@@ -5,6 +5,7 @@
 import type { UpstreamExecuteParams } from '@tanagerusher/protocol/peer/upstream-execute'
 import type { CatalogueEntry } from '@tanagerusher/state/catalogue/catalogue-entry'
 import type { Position } from '@tanagerusher/state/position/position'
+import type { StatementAnswer } from '@tanagerusher/state/upstream/statement-answer'
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
 import type { StatementAccess } from '@tanagerusher/state/upstream/upstream-command'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
@@ -30,9 +31,12 @@
 export type FinalAnswer = Extract<StatementDecision, { type: 'answer' }>['answer']
 
 /** Where a transaction is pinned. */
-export interface TransactionPlace { record: UpstreamRecord, host: string }
+export interface TransactionPlace { session: string, record: UpstreamRecord, host: string }
 
-export type BeginResult = { type: 'begun', place: TransactionPlace } | { type: 'failed', failure: StatementFailure, text: string }
+/** `answer` is that of the first statement, if the transaction began with one. */
+export type BeginResult =
+  | { type: 'begun', place: TransactionPlace, answer: Extract<StatementAnswer, { type: 'done' }> }
+  | { type: 'failed', failure: StatementFailure, text: string }
 
 interface CreateOptions {
   router: OwnerRouter
@@ -60,7 +64,7 @@
   }
 
   async runSingle (context: OperationContext, { id, text, access, needed }: SingleStatement): Promise<FinalAnswer> {
-    const operation: UpstreamExecuteParams['operation'] = { type: 'run', id, text, access, isInTransaction: false }
+    const operation: UpstreamExecuteParams['operation'] = { type: 'run', id, text, access, transaction: 'none', isReadOnly: false }
     const mayUseReplica = access === 'read' && context.entry.consistency !== 'primary'
     let answer: FinalAnswer | undefined
     const failure = await this.#tryDatabases(context, mayUseReplica, id, async (record, replicaRead) => {
@@ -73,21 +77,38 @@
     return answer ?? { type: 'failed', failure: 'busy', text: failure ?? 'not run', position: undefined }
   }
 
-  /** Opens a transaction; a caller that only reads may get a replica. */
-  async begin (context: OperationContext, isReadOnly: boolean): Promise<BeginResult> {
+  /**
+   * Opens a transaction, with its first statement if there is one; a caller that only reads may get a replica. Until COMMIT is
+   * sent nothing is kept, so all of it may be tried again elsewhere.
+   */
+  async begin (context: OperationContext, isReadOnly: boolean, first: SingleStatement | undefined): Promise<BeginResult> {
     const mayUseReplica = isReadOnly && context.entry.consistency !== 'primary'
-    let place: TransactionPlace | undefined
-    const failure = await this.#tryDatabases(context, mayUseReplica, context.session, async (record, replicaRead) => {
-      const { result, host } = await this.#options.router.execute(record, this.#buildParams(context, { type: 'begin', isReadOnly }, replicaRead, undefined))
-      if (result.answer.type !== 'done') return result.answer.type === 'failed' ? result.answer.failure : result.answer.reason
-      place = { record, host }
-      return undefined
+    const operation: UpstreamExecuteParams['operation'] = first === undefined
+      ? { type: 'begin', isReadOnly }
+      : { type: 'run', id: first.id, text: first.text, access: first.access, transaction: 'opens', isReadOnly }
+    let begun: Extract<BeginResult, { type: 'begun' }> | undefined
+    let attempts = 0
+    const failure = await this.#tryDatabases(context, mayUseReplica, first?.id ?? context.session, async (record, replicaRead) => {
+      const session = `${context.session}.${++attempts}`
+      const { result: { answer }, host } = await this.#options.router.execute(record, this.#buildParams({ ...context, session }, operation, replicaRead, first?.needed))
+      const place = { session, record, host }
+      if (answer.type === 'done') {
+        begun = { type: 'begun', place, answer }
+        return undefined
+      }
+      if (answer.type === 'lost') this.rollback(context, place)
+      return answer.type === 'failed' ? `${answer.failure}: ${answer.text}` : answer.reason
     })
-    return place === undefined ? { type: 'failed', failure: 'busy', text: failure ?? 'not run' } : { type: 'begun', place }
+    return begun ?? { type: 'failed', failure: 'busy', text: failure ?? 'not run' }
+  }
+
+  /** Ends a transaction without waiting for the answer; an owner that is not reached ends it when the link is lost. */
+  rollback (context: OperationContext, place: TransactionPlace): void {
+    void this.runPinned(context, place, { type: 'rollback' }, undefined)
   }
 
   async runPinned (context: OperationContext, place: TransactionPlace, operation: UpstreamExecuteParams['operation'], needed: UpstreamExecuteParams['needed']): Promise<RoutedResult> {
-    return await this.#options.router.execute(place.record, this.#buildParams(context, operation, undefined, needed), place.host)
+    return await this.#options.router.execute(place.record, this.#buildParams({ ...context, session: place.session }, operation, undefined, needed), place.host)
   }
 
   /** Tries databases until one carries the operation out. Returns why none did. */
--- a/packages/host/src/peer/peer-link.ts
+++ b/packages/host/src/peer/peer-link.ts
@@ -26,7 +26,7 @@
 
 const PING_EVERY_MS = 500
 /** Some round trips between regions; an open connection may be silent for good. */
-const PING_TIMEOUT_MS = 700
+const PING_TIMEOUT_MS = 400
 const CONNECT_WAIT_MS = 300
 const RECONNECT_AFTER_MS = 500
 /** A link that nobody asked for so long is closed. */
@@ -139,12 +139,13 @@
 
   #handleFailure (reason: string): void {
     if (this.#isClosed) return
-    if (this.#downSince === undefined) this.#logger.warn('peer lost', { peer: this.#record.host, reason })
+    const isFirst = this.#downSince === undefined
+    if (isFirst) this.#logger.warn('peer lost', { peer: this.#record.host, reason })
     this.#downSince ??= this.#clock.readTime()
     this.#connection?.destroy()
     this.#connection = undefined
     clearTimeout(this.#timer)
-    this.#timer = setTimeout(() => { this.#reopen() }, RECONNECT_AFTER_MS)
+    this.#timer = setTimeout(() => { this.#reopen() }, isFirst ? 0 : RECONNECT_AFTER_MS)
   }
 
   #handleClosed (connection: PeerConnection): void {
--- a/packages/host/src/program/host-shutdown.ts
+++ b/packages/host/src/program/host-shutdown.ts
@@ -19,7 +19,9 @@
 /** Open transactions have this part of the grace period to end. */
 const TRANSACTION_PART = 0.5
 /** Kept for the end of the process itself. */
-const MARGIN_MS = 600
+const MARGIN_MS = 400
+/** Time for an answer to reach its caller. */
+const ANSWER_MARGIN_MS = 100
 const STEP_MS = 50
 /** Other hosts need this long to choose other owners after the record is gone. */
 const HAND_OVER_MS = 1500
@@ -27,6 +29,7 @@
 /** Graceful stop: no request is cut, idle callers move on, and other hosts take the connections over. */
 export class HostShutdown {
   readonly #options: CreateOptions
+  #answerDeadline: number | undefined
 
   private constructor (options: CreateOptions) {
     this.#options = options
@@ -36,14 +39,20 @@
     return new HostShutdown(options)
   }
 
+  /** Time by which the last answer must have been written; undefined while the host does not stop. */
+  get answerDeadline (): number | undefined { return this.#answerDeadline }
+
   async run (): Promise<void> {
     const { graceMs, callers, hosts, clock, logger } = this.#options
     const startedAt = clock.readTime()
+    this.#answerDeadline = startedAt + graceMs - MARGIN_MS - ANSWER_MARGIN_MS
     logger.info('stopping', { sessions: callers.size, transactions: callers.openTransactions })
     void hosts.leave()
     while (clock.readTime() - startedAt < graceMs - MARGIN_MS) {
       const elapsedMs = clock.readTime() - startedAt
       if (elapsedMs >= Math.min(BALANCER_MS, graceMs * TRANSACTION_PART)) callers.closeIdle()
+      // The balancer sends callers on while too few hosts of the data centre are ready.
+      if (elapsedMs >= graceMs * TRANSACTION_PART) callers.stopAccepting()
       if (elapsedMs >= graceMs * TRANSACTION_PART) callers.abortTransactions('the host stops')
       if (elapsedMs >= BALANCER_MS + HAND_OVER_MS && callers.size === 0 && !this.#isOwnerBusy()) break
       await new Promise((resolve) => setTimeout(resolve, STEP_MS))
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -110,12 +110,12 @@
     address: callerHost as string,
     port: Number(callerPort),
     incarnation,
-    services: { catalogue: catalogue.replica, budget, runner, clock, logger, metrics, checkClocks: () => { clock.check() }, isLeaving: () => isLeaving },
+    services: { catalogue: catalogue.replica, budget, runner, clock, logger, metrics, checkClocks: () => { clock.check() }, findAnswerDeadline: () => shutdown.answerDeadline },
     createCodec: adapter.createCallerCodec
   })
   const [readinessHost, readinessPort] = settings.readinessAddress.split(':')
   const readiness = await ReadinessServer.open({
-    address: readinessHost as string, port: Number(readinessPort), path: adapter.readinessPath, isReady: () => !isLeaving && catalogue.replica.catalogue !== undefined
+    address: readinessHost as string, port: Number(readinessPort), path: adapter.readinessPath, isReady: () => !isLeaving && catalogue.isConfirmed
   })
   router.updateHosts([self])
   catalogue.updateHosts([self])
@@ -144,7 +144,7 @@
     adapter.store.close()
     logger.info('stopped')
   }
-  const shutdown = HostShutdown.create({ graceMs: settings.graceSeconds * 1000, callers, registry, hosts, clock, logger })
+  const shutdown: HostShutdown = HostShutdown.create({ graceMs: settings.graceSeconds * 1000, callers, registry, hosts, clock, logger })
   return {
     close: async () => {
       isLeaving = true
--- a/packages/host/src/store/catalogue-task.ts
+++ b/packages/host/src/store/catalogue-task.ts
@@ -29,6 +29,8 @@
 const RELAYS = 2
 /** A host whose relays are silent for so long calls the store itself. */
 const OWN_CALL_AFTER_MS = 1400
+/** Part of the freshness limit after which the balancer is told to send callers elsewhere, before they are refused. */
+const READY_PART = 0.6
 const FETCH_TIMEOUT_MS = 1000
 const TICK_MS = 500
 
@@ -70,6 +72,12 @@
     this.#tick()
   }
 
+  /** Whether callers with keys can be served, now and a little longer. */
+  get isConfirmed (): boolean {
+    const { clock, keyFreshnessMs } = this.#options
+    return this.replica.catalogue !== undefined && this.replica.readProofAge(clock.readTime()) < keyFreshnessMs * READY_PART
+  }
+
   /** As the store holds it, for a host that asks. */
   get value (): unknown { return this.#value }
 
--- a/packages/host/src/upstream/connection-set.ts
+++ b/packages/host/src/upstream/connection-set.ts
@@ -20,6 +20,8 @@
 }
 
 interface CreateOptions {
+  /** A connection became free, or there is room for one. */
+  handleFree: () => void
   record: UpstreamRecord
   connector: UpstreamConnector
   clock: Clock
@@ -37,11 +39,13 @@
   readonly #logger: Logger
   readonly #connections = new Set<HeldConnection>()
   readonly #opening = new Map<string, number>()
+  readonly #handleFree: () => void
   #waiters: Waiter[] = []
   #limit = 0
   #isClosed = false
 
-  private constructor ({ record, connector, clock, logger }: CreateOptions) {
+  private constructor ({ record, connector, clock, logger, handleFree }: CreateOptions) {
+    this.#handleFree = handleFree
     this.#record = record
     this.#connector = connector
     this.#clock = clock
@@ -53,6 +57,7 @@
   }
 
   get size (): number { return this.#connections.size }
+  get limit (): number { return this.#limit }
 
   updateLimit (limit: number): void {
     this.#limit = limit
@@ -73,6 +78,17 @@
     })
   }
 
+  /** Whether a request of the organisation would not wait for others to free a connection. */
+  hasRoom (organisation: string): boolean {
+    if (this.#isClosed) return true
+    let count = this.#waiters.length
+    for (const { isIdle, organisation: owner } of this.#connections) {
+      if (!isIdle) count++
+      else if (owner === organisation) return true
+    }
+    return count < this.#limit
+  }
+
   /** An idle connection of any organisation, which need not wait for one. */
   acquireAnyIdle (): HeldConnection | undefined {
     for (const held of this.#connections) {
@@ -96,6 +112,12 @@
     this.#serveWaiters()
   }
 
+  /** Closes the idle connections that have not answered since `time`. */
+  closeIdleUnusedSince (time: number): void {
+    for (const held of this.#connections) if (held.isIdle && held.usedAt < time) this.#drop(held)
+    this.#serveWaiters()
+  }
+
   close (): void {
     this.#isClosed = true
     for (const held of this.#connections) if (held.isIdle) this.#drop(held)
@@ -123,6 +145,7 @@
       }
       this.#openFor(waiter.organisation)
     }
+    if (this.#waiters.length === 0) this.#handleFree()
   }
 
   #openFor (organisation: string): void {
--- a/packages/host/src/upstream/database-owner.ts
+++ b/packages/host/src/upstream/database-owner.ts
@@ -37,7 +37,7 @@
 
 /** Time for control statements, which take no slot. */
 const CONTROL_TIMEOUT_MS = 1000
-const PROBE_TIMEOUT_MS = 500
+const PROBE_TIMEOUT_MS = 400
 /** A request holds its slot while it waits for a connection, so it waits for little more than the set-up of one. */
 const CONNECTION_WAIT_MS = 300
 /** Well above every limit for a transaction's rest. */
@@ -65,8 +65,8 @@
     this.#clock = clock
     this.#logger = logger
     this.#events = events
-    this.#connections = ConnectionSet.create({ record, connector, clock, logger })
-    this.#slots = SlotGate.create({ slots: record.slots, clock })
+    this.#connections = ConnectionSet.create({ record, connector, clock, logger, handleFree: () => { this.#slots.startWaiting() } })
+    this.#slots = SlotGate.create({ slots: record.slots, clock, hasConnection: (organisation) => this.#connections.hasRoom(organisation) })
     this.#usedAt = clock.readTime()
   }
 
@@ -105,7 +105,8 @@
     const timeLeftMs = deadline - this.#clock.readTime()
     if (timeLeftMs <= 0) return this.#refuse('busy', 'the primary hands over')
     if (operation.type === 'commit') return await this.#commit({ ...params, timeLeftMs }, operation)
-    return operation.isInTransaction ? await this.#runInTransaction(params, operation) : await this.#runSingle({ ...params, timeLeftMs }, operation)
+    if (operation.transaction === 'none') return await this.#runSingle({ ...params, timeLeftMs }, operation)
+    return operation.transaction === 'joins' ? await this.#runInTransaction({ ...params, timeLeftMs }, operation) : await this.#runFirst({ ...params, timeLeftMs }, operation, deadline)
   }
 
   /** Ends the transactions of sessions that `isGone` names. */
@@ -161,9 +162,14 @@
     const [begin] = await Promise.all(held.connection.send([{ type: 'begin', isReadOnly: false, after: undefined }, { type: 'rollback' }], PROBE_TIMEOUT_MS)) as [StatementAnswer, StatementAnswer]
     this.#recordHealth(begin)
     this.#recordLeadership(begin, sentAt)
-    if (begin.type === 'lost') this.#connections.discard(held)
-    else this.#connections.release(held)
-    return begin.type !== 'lost'
+    if (begin.type !== 'lost') {
+      this.#connections.release(held)
+      return true
+    }
+    // Where one connection has fallen silent the others may have too; each would cost a request its whole time limit.
+    this.#connections.discard(held)
+    this.#connections.closeIdleUnusedSince(sentAt)
+    return false
   }
 
   async #acquireForProbe (): Promise<HeldConnection | undefined> {
@@ -180,8 +186,8 @@
     const deadline = this.#clock.readTime() + timeLeftMs
     if (!this.#health.takeTrial(this.#clock.readTime())) return this.#refuse('busy', 'the database does not answer')
     if (replicaRead !== undefined) await this.#events.prepareReadPosition(this.#record, replicaRead.maxStalenessMs)
-    const slot = await this.#slots.wait({ organisation, priority, timeLeftMs })
-    if (slot.type === 'refused') return this.#refuse('busy', slot.reason)
+    const slot = await this.#slots.wait({ organisation, priority, timeLeftMs, isPinned: false })
+    if (slot.type === 'refused') return this.#refuse('busy', this.#describeLoad(slot.reason))
     try {
       const after = replicaRead === undefined ? undefined : this.#events.findReadPosition(this.#record, replicaRead.maxStalenessMs, replicaRead.floor)
       if (replicaRead !== undefined && after === undefined) return this.#refuse('lagging', 'no position of the primary inside the bound is known')
@@ -222,10 +228,20 @@
     return this.#answer(answer, true)
   }
 
-  async #begin (params: UpstreamExecuteParams, operation: Operation<'begin'>): Promise<UpstreamExecuteResult> {
+  /** Opens a transaction and runs its first statement; the connection is taken only now, not while the caller pauses. */
+  async #runFirst (params: UpstreamExecuteParams, operation: Operation<'run'>, deadline: number): Promise<UpstreamExecuteResult> {
+    const begun = await this.#begin(params, operation)
+    if (begun.answer.type !== 'done') return begun
+    return await this.#runInTransaction({ ...params, timeLeftMs: Math.max(1, deadline - this.#clock.readTime()) }, operation)
+  }
+
+  async #begin (params: UpstreamExecuteParams, operation: Pick<Operation<'begin'>, 'isReadOnly'>): Promise<UpstreamExecuteResult> {
     const { session, organisation, values, replicaRead, timeLeftMs } = params
     if (!this.#health.takeTrial(this.#clock.readTime())) return this.#refuse('busy', 'the database does not answer')
     if (replicaRead !== undefined) await this.#events.prepareReadPosition(this.#record, replicaRead.maxStalenessMs)
+    if (this.#transactions.size >= Math.max(1, this.#connections.limit - this.#record.slots)) {
+      return this.#refuse('busy', this.#describeLoad('too many open transactions'))
+    }
     const acquisition = await this.#connections.acquire(organisation, values, timeLeftMs)
     if (acquisition.type !== 'acquired') return this.#refuseAcquisition(acquisition)
     const { held } = acquisition
@@ -286,7 +302,7 @@
     const { organisation, priority, timeLeftMs } = params
     const deadline = this.#clock.readTime() + timeLeftMs
     transaction.isBusy = true
-    const slot = await this.#slots.wait({ organisation, priority, timeLeftMs })
+    const slot = await this.#slots.wait({ organisation, priority, timeLeftMs, isPinned: true })
     if (slot.type === 'refused') {
       transaction.isBusy = false
       return this.#refuse('busy', slot.reason)
@@ -323,11 +339,16 @@
   }
 
   #refuseAcquisition (acquisition: { type: 'refused', failure: StatementFailure, text: string } | { type: 'unreachable', reason: string }): UpstreamExecuteResult {
-    if (acquisition.type === 'refused') return this.#refuse(acquisition.failure, acquisition.text)
+    if (acquisition.type === 'refused') return this.#refuse(acquisition.failure, this.#describeLoad(acquisition.text))
     this.#health.recordFailure(this.#clock.readTime())
     return this.#refuse('busy', acquisition.reason)
   }
 
+  #describeLoad (reason: string): string {
+    const { running, waiting } = this.#slots.load
+    return `${reason}; ${running} run and ${waiting} wait on ${this.#connections.size} of ${this.#connections.limit} connections`
+  }
+
   #refuse (failure: StatementFailure, text: string): UpstreamExecuteResult {
     return this.#answer({ type: 'failed', failure, text, position: undefined }, false)
   }
@@ -337,8 +358,12 @@
   }
 
   #recordHealth (answer: StatementAnswer): void {
-    if (answer.type === 'lost') this.#health.recordFailure(this.#clock.readTime())
-    else this.#health.recordAnswer(this.#clock.readTime())
+    if (answer.type !== 'lost') {
+      this.#health.recordAnswer(this.#clock.readTime())
+      return
+    }
+    this.#health.recordFailure(this.#clock.readTime())
+    if (this.#connections.size > 0) void this.probe()
   }
 
   #recordLeadership (answer: StatementAnswer, sentAt: number): void {
@@ -351,5 +376,5 @@
 }
 
 function isWriting (operation: UpstreamExecuteParams['operation']): boolean {
-  return operation.type === 'commit' || (operation.type === 'run' && operation.access === 'write' && !operation.isInTransaction)
+  return operation.type === 'commit' || (operation.type === 'run' && operation.access === 'write' && operation.transaction === 'none')
 }
--- a/packages/host/src/upstream/slot-gate.ts
+++ b/packages/host/src/upstream/slot-gate.ts
@@ -5,14 +5,20 @@
 interface CreateOptions {
   slots: number
   clock: Clock
+  /** Whether a request of the organisation would get a connection at once, so that no slot is held for the wait for one. */
+  hasConnection: (organisation: string) => boolean
 }
 
 interface WaitOptions {
   organisation: string
   priority: number
   timeLeftMs: number
+  /** Statements of open transactions go first: their end frees the connection and the locks that others wait for. */
+  isPinned: boolean
 }
 
+interface PinnedRequest { id: string, organisation: string, deadline: number }
+
 /** `id` must be released when the statement's answer is there. */
 type SlotAnswer = { type: 'granted', id: string } | { type: 'refused', reason: string }
 
@@ -26,13 +32,16 @@
   readonly #clock: Clock
   readonly #scheduler: SlotScheduler
   readonly #slots: number
+  readonly #hasConnection: CreateOptions['hasConnection']
+  #pinned: PinnedRequest[] = []
   readonly #waiting = new Map<string, (answer: SlotAnswer) => void>()
   readonly #startedAt = new Map<string, number>()
   #timer: NodeJS.Timeout | undefined
   #ids = 0
   #meanMs = INITIAL_MEAN_MS
 
-  private constructor ({ slots, clock }: CreateOptions) {
+  private constructor ({ slots, clock, hasConnection }: CreateOptions) {
+    this.#hasConnection = hasConnection
     this.#slots = slots
     this.#clock = clock
     this.#scheduler = SlotScheduler.create({ slots })
@@ -44,24 +53,30 @@
 
   /** Time that a further statement is expected to wait. */
   estimateWaitMs (): number {
-    const ahead = this.#scheduler.waiting + Math.max(0, this.#scheduler.running - this.#slots + 1)
+    const ahead = this.#scheduler.waiting + this.#pinned.length + Math.max(0, this.#scheduler.running - this.#slots + 1)
     return ahead * this.#meanMs / this.#slots
   }
 
   get meanMs (): number { return this.#meanMs }
-  get load (): { running: number, waiting: number } { return { running: this.#scheduler.running, waiting: this.#scheduler.waiting } }
+  get load (): { running: number, waiting: number } { return { running: this.#scheduler.running, waiting: this.#scheduler.waiting + this.#pinned.length } }
 
-  async wait ({ organisation, priority, timeLeftMs }: WaitOptions): Promise<SlotAnswer> {
+  async wait ({ organisation, priority, timeLeftMs, isPinned }: WaitOptions): Promise<SlotAnswer> {
     const now = this.#clock.readTime()
     const id = String(++this.#ids)
+    if (isPinned) {
+      this.#pinned.push({ id, organisation, deadline: now + timeLeftMs })
+      return await this.#waitForStart(id)
+    }
     const result = this.#scheduler.enqueue({
       id, organisation, weight: 1, serviceClass: findServiceClass(priority), deadline: now + timeLeftMs, maximumQueued: MAXIMUM_QUEUED
     }, now)
     if (result.type === 'refused') return { type: 'refused', reason: result.reason }
-    return await new Promise((resolve) => {
-      this.#waiting.set(id, resolve)
-      this.#startNext()
-    })
+    return await this.#waitForStart(id)
+  }
+
+  /** A connection may have become free. */
+  startWaiting (): void {
+    if (this.#scheduler.waiting > 0) this.#startNext()
   }
 
   release (id: string): void {
@@ -80,18 +95,43 @@
       resolve({ type: 'refused', reason: 'the host gave the database up' })
     }
     this.#waiting.clear()
+    this.#pinned = []
+  }
+
+  async #waitForStart (id: string): Promise<SlotAnswer> {
+    return await new Promise((resolve) => {
+      this.#waiting.set(id, resolve)
+      this.#startNext()
+    })
+  }
+
+  #startPinned (now: number): void {
+    this.#pinned = this.#pinned.filter(({ id, organisation, deadline }) => {
+      if (deadline <= now) this.#answer(id, { type: 'refused', reason: 'no slot was free in time' })
+      else if (!this.#scheduler.startAhead(id, organisation, now)) return true
+      else {
+        this.#startedAt.set(id, now)
+        this.#answer(id, { type: 'granted', id })
+      }
+      return false
+    })
   }
 
   #startNext (): void {
     const now = this.#clock.readTime()
+    this.#startPinned(now)
     for (const { id } of this.#scheduler.expire(now)) this.#answer(id, { type: 'refused', reason: 'no slot was free in time' })
-    for (let next = this.#scheduler.start(now); next !== undefined; next = this.#scheduler.start(now)) {
+    for (let next = this.#takeNext(now); next !== undefined; next = this.#takeNext(now)) {
       this.#startedAt.set(next.id, now)
       this.#answer(next.id, { type: 'granted', id: next.id })
     }
     this.#armTimer(now)
   }
 
+  #takeNext (now: number): { id: string } | undefined {
+    return this.#scheduler.start(now, this.#hasConnection)
+  }
+
   #answer (id: string, answer: SlotAnswer): void {
     this.#waiting.get(id)?.(answer)
     this.#waiting.delete(id)
@@ -99,8 +139,9 @@
 
   #armTimer (now: number): void {
     clearTimeout(this.#timer)
-    const deadline = this.#scheduler.findNextDeadline()
-    this.#timer = deadline === undefined ? undefined : setTimeout(() => { this.#startNext() }, Math.max(1, deadline - now))
+    const deadlines = [this.#scheduler.findNextDeadline() ?? Infinity, ...this.#pinned.map((request) => request.deadline)]
+    const deadline = Math.min(...deadlines)
+    this.#timer = deadline === Infinity ? undefined : setTimeout(() => { this.#startNext() }, Math.max(1, deadline - now))
   }
 }
 
--- a/packages/protocol/src/peer/upstream-execute.ts
+++ b/packages/protocol/src/peer/upstream-execute.ts
@@ -5,7 +5,15 @@
 
 const operation = z.discriminatedUnion('type', [
   z.object({ type: z.literal('begin'), isReadOnly: z.boolean() }),
-  z.object({ type: z.literal('run'), id: z.string(), text: z.string(), access, isInTransaction: z.boolean() }),
+  z.object({
+    type: z.literal('run'),
+    id: z.string(),
+    text: z.string(),
+    access,
+    /** `opens`: the transaction begins with this statement; `joins`: it is open. */
+    transaction: z.enum(['none', 'opens', 'joins']),
+    isReadOnly: z.boolean()
+  }),
   z.object({ type: z.literal('commit'), id: z.string() }),
   z.object({ type: z.literal('rollback') })
 ])
