--- a/packages/coordination/src/budget/token-exchange.ts
+++ b/packages/coordination/src/budget/token-exchange.ts
@@ -1,10 +1,9 @@
+import type { ExchangeOrder } from './exchange-order.js'
+
 interface Limit { ratePerSecond: number, burst: number }
 
 interface Holding { tokens: number, filledAt: number, demand: number, demandAt: number }
 
-/** Tokens by organisation that a host brings to the budget home and those that it wants from there. */
-export interface ExchangeOrder { deposits: Record<string, number>, wants: Record<string, number> }
-
 interface CreateOptions {
   /** Time of the start: a host accrues from here, so that a restart does not give the burst again. */
   startedAt: number
--- a/packages/coordination/src/common/object-store.ts
+++ b/packages/coordination/src/common/object-store.ts
@@ -1,11 +1,5 @@
-export interface StoreObject {
-  name: string
-  /** Version of the store at the last change of the object. */
-  revision: number
-  value: unknown
-}
-
-export interface StoreChange { object: StoreObject, isRemoved: boolean }
+import type { StoreChange } from './store-change.js'
+import type { StoreObject } from './store-object.js'
 
 /** Why a call of the store brought nothing. */
 export type StoreFailure =
--- a/packages/coordination/src/common/platform-adapter.ts
+++ b/packages/coordination/src/common/platform-adapter.ts
@@ -2,9 +2,10 @@
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import type { UpstreamStatus } from '@tanagerusher/state/upstream/upstream-status'
 import type { CallerCodec } from './caller-codec.js'
-import type { ObjectStore, StoreObject } from './object-store.js'
+import type { ObjectStore } from './object-store.js'
+import type { StoreObject } from './store-object.js'
 import type { Promoter } from './promoter.js'
-import type { UpstreamConnector } from './upstream-connection.js'
+import type { UpstreamConnector } from './upstream-connector.js'
 
 /** Everything that a host needs of the platform it runs on. */
 export interface PlatformAdapter {
--- a/packages/coordination/src/common/promoter.ts
+++ b/packages/coordination/src/common/promoter.ts
@@ -1,11 +1,4 @@
-export interface PromotionOrder {
-  group: string
-  /** Database that takes over. */
-  id: string
-  host: string
-  /** Unique to the holder and rising from holder to holder. */
-  fencingToken: number
-}
+import type { PromotionOrder } from './promotion-order.js'
 
 export type PromotionAnswer =
   | { type: 'promoted' }
--- /dev/null
+++ b/packages/coordination/src/common/store-change.ts
@@ -0,0 +1,3 @@
+import type { StoreObject } from './store-object.js'
+
+export interface StoreChange { object: StoreObject, isRemoved: boolean }
--- /dev/null
+++ b/packages/coordination/test/budget/token-exchange.test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { TokenExchange } from '../../src/budget/token-exchange.js'
+import { TokenPool } from '../../src/budget/token-pool.js'
+
+const LIMIT = { ratePerSecond: 20, burst: 20 }
+
+interface Fleet { hosts: TokenExchange[], pool: TokenPool }
+
+function createFleet (count: number, limits = new Map([['org', LIMIT]])): Fleet {
+  const hosts = Array.from({ length: count }, () => TokenExchange.create({ startedAt: 0 }))
+  for (const host of hosts) host.updateLimits(limits, count, 0)
+  return { hosts, pool: TokenPool.create() }
+}
+
+/** One exchange of every host with the home; `isLost` says which message does not arrive. */
+function exchange ({ hosts, pool }: Fleet, now: number, isLost: (host: number) => boolean = () => false): void {
+  hosts.forEach((host, index) => {
+    const { deposits, wants } = host.takeOrder(now, true)
+    if (isLost(index)) return
+    for (const [name, tokens] of Object.entries(deposits)) pool.deposit(name, tokens, LIMIT.burst)
+    host.applyGrants(Object.fromEntries(Object.entries(wants).map(([name, wanted]) => [name, pool.take(name, wanted)])), now)
+  })
+}
+
+test('an organisation whose callers all reach one of eight hosts gets its whole rate (a static split gives an eighth)', () => {
+  const fleet = createFleet(8)
+  let served = 0
+  for (let now = 0; now < 20_000; now += 10) {
+    if (now % 250 === 0) exchange(fleet, now)
+    if (now >= 2000 && now % 70 === 0 && fleet.hosts[0]?.take('org', now) === true) served++
+  }
+  const asked = 18_000 / 70
+  assert.ok(served >= asked * 0.98, `${served} of ${Math.round(asked)} served at 71% of the rate`)
+})
+
+test('granted tokens above the ceiling for accrual are kept (they were cut, which refused 3% inside the rate)', () => {
+  const [host] = createFleet(8).hosts
+  assert.ok(host !== undefined)
+  host.take('org', 0)
+  host.applyGrants({ org: 5 }, 0)
+  assert.equal(Math.floor(host.describe('org', 1).tokens), 5)
+})
+
+test('lost messages and a second home never raise what is admitted above rate and burst', () => {
+  for (let seed = 1; seed <= 50; seed++) {
+    const fleet = createFleet(8)
+    const other = { hosts: fleet.hosts, pool: TokenPool.create() }
+    const random = createRandom(seed)
+    const admitted: number[] = []
+    for (let now = 0; now < 15_000; now += 10) {
+      if (now % 250 === 0) exchange(random() < 0.5 ? fleet : other, now, () => random() < 0.2)
+      for (const host of fleet.hosts) if (random() < 0.3 && host.take('org', now)) admitted.push(now)
+    }
+    const total = LIMIT.ratePerSecond * 15 + LIMIT.burst
+    assert.ok(admitted.length <= total, `seed ${seed}: ${admitted.length} admitted, at most ${total} accrued`)
+  }
+})
+
+test('a restarted host does not get the burst again', () => {
+  const host = TokenExchange.create({ startedAt: 100_000 })
+  host.updateLimits(new Map([['org', LIMIT]]), 1, 100_000)
+  assert.equal(host.take('org', 100_000), false)
+})
+
+test('a lowered limit takes effect on what is held', () => {
+  const [host] = createFleet(1).hosts
+  assert.ok(host !== undefined)
+  host.applyGrants({ org: 15 }, 0)
+  host.updateLimits(new Map([['org', { ratePerSecond: 2, burst: 2 }]]), 1, 0)
+  let served = 0
+  for (let index = 0; index < 10; index++) if (host.take('org', 0)) served++
+  assert.equal(served, 2)
+})
+
+test('the pool gives whole tokens, so that parts of one do not lie about where they serve nobody', () => {
+  const pool = TokenPool.create()
+  pool.deposit('org', 1.7, 20)
+  assert.equal(pool.take('org', 0.4), 1)
+  assert.equal(pool.take('org', 0.4), 0)
+})
+
+function createRandom (seed: number): () => number {
+  let state = seed
+  return () => {
+    state = Math.imul(state ^ (state >>> 15), 0x2c1b3c6d) + 0x9e3779b9 | 0
+    return ((state ^ (state >>> 13)) >>> 0) / 2 ** 32
+  }
+}
--- /dev/null
+++ b/packages/coordination/test/fairness/slots-and-connections.test.ts
@@ -0,0 +1,26 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { SlotScheduler } from '../../src/fairness/slot-scheduler.js'
+
+function enqueue (scheduler: SlotScheduler, id: string, organisation: string): void {
+  scheduler.enqueue({ id, organisation, weight: 1, serviceClass: 'interactive', deadline: 1000, maximumQueued: 100 }, 0)
+}
+
+test('an organisation without a connection leaves the slot to others (slots that waited for connections served 10 a second)', () => {
+  const scheduler = SlotScheduler.create({ slots: 1 })
+  enqueue(scheduler, 'first', 'no-connection')
+  enqueue(scheduler, 'second', 'other')
+  assert.equal(scheduler.start(0, (organisation) => organisation === 'other')?.id, 'second')
+  scheduler.finish('second', 5)
+  assert.equal(scheduler.start(5, () => true)?.id, 'first')
+})
+
+test('a statement of an open transaction goes ahead of the queue, but only into a free slot', () => {
+  const scheduler = SlotScheduler.create({ slots: 1 })
+  enqueue(scheduler, 'queued', 'org')
+  assert.equal(scheduler.startAhead('pinned', 'org', 0), true)
+  assert.equal(scheduler.startAhead('second', 'org', 0), false)
+  assert.equal(scheduler.start(0), undefined)
+  scheduler.finish('pinned', 10)
+  assert.equal(scheduler.start(10)?.id, 'queued')
+})
--- a/packages/host/src/budget/budget-task.ts
+++ b/packages/host/src/budget/budget-task.ts
@@ -1,4 +1,5 @@
-import { TokenExchange, type ExchangeOrder } from '@tanagerusher/coordination/budget/token-exchange'
+import { TokenExchange } from '@tanagerusher/coordination/budget/token-exchange'
+import type { ExchangeOrder } from '@tanagerusher/coordination/budget/exchange-order'
 import { TokenPool } from '@tanagerusher/coordination/budget/token-pool'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import { computeHash } from '@tanagerusher/coordination/common/compute-hash'
--- a/packages/host/src/caller/caller-task.ts
+++ b/packages/host/src/caller/caller-task.ts
@@ -9,7 +9,8 @@
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
 import type { CallerServices } from './caller-services.js'
 import type { OpenTransaction } from './open-transaction.js'
-import type { OperationContext, SingleStatement } from './operation-runner.js'
+import type { SingleStatement } from './single-statement.js'
+import type { OperationContext } from './operation-context.js'
 
 interface CreateOptions {
   socket: Socket
--- a/packages/host/src/caller/open-transaction.ts
+++ b/packages/host/src/caller/open-transaction.ts
@@ -1,5 +1,5 @@
 import type { CatalogueEntry } from '@tanagerusher/state/catalogue/catalogue-entry'
-import type { TransactionPlace } from './operation-runner.js'
+import type { TransactionPlace } from './transaction-place.js'
 
 /** A caller's transaction from its BEGIN to its end. */
 export interface OpenTransaction {
--- /dev/null
+++ b/packages/host/src/caller/operation-context.ts
@@ -0,0 +1,11 @@
+import type { CatalogueEntry } from '@tanagerusher/state/catalogue/catalogue-entry'
+import type { Position } from '@tanagerusher/state/position/position'
+
+export interface OperationContext {
+  session: string
+  entry: CatalogueEntry
+  organisation: string
+  values: Array<[string, string]>
+  floor: Position | undefined
+  deadline: number
+}
--- a/packages/host/src/caller/operation-runner.ts
+++ b/packages/host/src/caller/operation-runner.ts
@@ -1,38 +1,20 @@
+import type { TransactionPlace } from './transaction-place.js'
+import type { SingleStatement } from './single-statement.js'
+import type { OperationContext } from './operation-context.js'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
 import { decideStatementOutcome, type StatementDecision } from '@tanagerusher/coordination/outcome/decide-statement-outcome'
 import { chooseReadUpstream } from '@tanagerusher/coordination/placement/choose-read-upstream'
 import type { UpstreamExecuteParams } from '@tanagerusher/protocol/peer/upstream-execute'
-import type { CatalogueEntry } from '@tanagerusher/state/catalogue/catalogue-entry'
-import type { Position } from '@tanagerusher/state/position/position'
 import type { StatementAnswer } from '@tanagerusher/state/upstream/statement-answer'
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
-import type { StatementAccess } from '@tanagerusher/state/upstream/upstream-command'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import type { Logger } from 'winston'
-import type { OwnedOperation, OwnerRouter, RoutedResult } from '../upstream/owner-router.js'
-
-export interface OperationContext {
-  session: string
-  entry: CatalogueEntry
-  organisation: string
-  values: Array<[string, string]>
-  floor: Position | undefined
-  deadline: number
-}
-
-export interface SingleStatement {
-  id: string
-  text: string
-  access: StatementAccess
-  needed: UpstreamExecuteParams['needed']
-}
+import type { OwnedOperation, OwnerRouter } from '../upstream/owner-router.js'
+import type { RoutedResult } from '../upstream/routed-result.js'
 
 export type FinalAnswer = Extract<StatementDecision, { type: 'answer' }>['answer']
 
-/** Where a transaction is pinned. */
-export interface TransactionPlace { session: string, record: UpstreamRecord, host: string }
-
 /** `answer` is that of the first statement, if the transaction began with one. */
 export type BeginResult =
   | { type: 'begun', place: TransactionPlace, answer: Extract<StatementAnswer, { type: 'done' }> }
--- a/packages/host/src/store/catalogue-task.ts
+++ b/packages/host/src/store/catalogue-task.ts
@@ -1,6 +1,7 @@
 import { CatalogueReplica } from '@tanagerusher/coordination/catalogue/catalogue-replica'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
-import type { ObjectStore, StoreObject } from '@tanagerusher/coordination/common/object-store'
+import type { ObjectStore } from '@tanagerusher/coordination/common/object-store'
+import type { StoreObject } from '@tanagerusher/coordination/common/store-object'
 import { computeRendezvousOrder } from '@tanagerusher/coordination/membership/compute-rendezvous-order'
 import { catalogueFetch } from '@tanagerusher/protocol/peer/catalogue-fetch'
 import type { Catalogue } from '@tanagerusher/state/catalogue/catalogue'
--- a/packages/host/src/store/hosts-task.ts
+++ b/packages/host/src/store/hosts-task.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
-import type { ObjectStore, StoreObject } from '@tanagerusher/coordination/common/object-store'
+import type { ObjectStore } from '@tanagerusher/coordination/common/object-store'
+import type { StoreObject } from '@tanagerusher/coordination/common/store-object'
 import { hostRecordSchema, type HostRecord } from '@tanagerusher/state/upstream/host-record'
 import type { Logger } from 'winston'
 import { ObjectWatcher } from './object-watcher.js'
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -1,15 +1,8 @@
+import type { WatchEvents } from './watch-events.js'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
-import type { ObjectStore, StoreFailure, StoreObject } from '@tanagerusher/coordination/common/object-store'
+import type { ObjectStore, StoreFailure } from '@tanagerusher/coordination/common/object-store'
 import type { Logger } from 'winston'
 
-export interface WatchEvents {
-  /** All objects of the kind, after a list. */
-  handleList(objects: readonly StoreObject[]): void
-  handleChange(object: StoreObject, isRemoved: boolean): void
-  /** What was handled so far was complete when a request was sent at `sentAt`. */
-  handleConfirmed(sentAt: number): void
-}
-
 interface CreateOptions {
   store: ObjectStore
   kind: string
--- a/packages/host/src/store/upstreams-task.ts
+++ b/packages/host/src/store/upstreams-task.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
-import type { ObjectStore, StoreObject } from '@tanagerusher/coordination/common/object-store'
+import type { ObjectStore } from '@tanagerusher/coordination/common/object-store'
+import type { StoreObject } from '@tanagerusher/coordination/common/store-object'
 import { UpstreamDirectory } from '@tanagerusher/coordination/membership/upstream-directory'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import type { Logger } from 'winston'
--- a/packages/host/src/upstream/connection-set.ts
+++ b/packages/host/src/upstream/connection-set.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
-import type { UpstreamConnector } from '@tanagerusher/coordination/common/upstream-connection'
+import type { UpstreamConnector } from '@tanagerusher/coordination/common/upstream-connector'
 import { ConnectionSetup } from '@tanagerusher/coordination/transaction/connection-setup'
 import { planConnection } from '@tanagerusher/coordination/transaction/plan-connection'
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
--- a/packages/host/src/upstream/database-owner.ts
+++ b/packages/host/src/upstream/database-owner.ts
@@ -1,8 +1,8 @@
+import type { OwnerEvents } from './owner-events.js'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
-import type { UpstreamConnector } from '@tanagerusher/coordination/common/upstream-connection'
+import type { UpstreamConnector } from '@tanagerusher/coordination/common/upstream-connector'
 import { UpstreamHealth } from '@tanagerusher/coordination/health/upstream-health'
 import type { UpstreamExecuteParams, UpstreamExecuteResult } from '@tanagerusher/protocol/peer/upstream-execute'
-import type { Position } from '@tanagerusher/state/position/position'
 import type { StatementAnswer } from '@tanagerusher/state/upstream/statement-answer'
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
 import type { UpstreamCommand } from '@tanagerusher/state/upstream/upstream-command'
@@ -12,17 +12,6 @@
 import type { HeldConnection } from './held-connection.js'
 import { SlotGate } from './slot-gate.js'
 
-/** What an owner tells of its database. */
-export interface OwnerEvents {
-  /** The database led when it answered a request that was sent at `sentAt`. */
-  handleLeaderProof(record: UpstreamRecord, position: Position, sentAt: number): void
-  handleLeaderRefusal(record: UpstreamRecord): void
-  /** Waits shortly for a position inside the bound. */
-  prepareReadPosition(record: UpstreamRecord, maxStalenessMs: number): Promise<void>
-  /** Lowest position at which a read inside the bound may run; undefined when none is known. */
-  findReadPosition(record: UpstreamRecord, maxStalenessMs: number, floor: Position | undefined): Position | undefined
-}
-
 interface CreateOptions {
   record: UpstreamRecord
   connector: UpstreamConnector
--- a/packages/host/src/upstream/owner-registry.ts
+++ b/packages/host/src/upstream/owner-registry.ts
@@ -1,8 +1,9 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
-import type { UpstreamConnector } from '@tanagerusher/coordination/common/upstream-connection'
+import type { UpstreamConnector } from '@tanagerusher/coordination/common/upstream-connector'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import type { Logger } from 'winston'
-import { DatabaseOwner, type OwnerEvents } from './database-owner.js'
+import { DatabaseOwner } from './database-owner.js'
+import type { OwnerEvents } from './owner-events.js'
 
 interface CreateOptions {
   connector: UpstreamConnector
--- a/packages/host/src/upstream/owner-router.ts
+++ b/packages/host/src/upstream/owner-router.ts
@@ -1,3 +1,4 @@
+import type { RoutedResult } from './routed-result.js'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import { computeConnectionLimit } from '@tanagerusher/coordination/fairness/compute-connection-limit'
 import { listOwnerCandidates } from '@tanagerusher/coordination/membership/list-owner-candidates'
@@ -19,8 +20,6 @@
 /** An operation before its database is chosen. */
 export type OwnedOperation = Omit<UpstreamExecuteParams, 'databaseId'>
 
-export interface RoutedResult { result: UpstreamExecuteResult, host: string }
-
 interface Reported { waitMs: number, at: number }
 
 /** The owner answers a little after the time that it was given. */
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -40,9 +40,9 @@
 stream.resume()
 
 function findTestFiles (names) {
-  const packages = names.length > 0 ? names : readdirSync('packages')
+  const packages = names.length > 0 ? names : [...readdirSync('packages'), 'platform']
   return packages.flatMap((name) => {
-    const root = `packages/${name}/dist/test`
+    const root = name === 'platform' ? 'platform/dist/test' : `packages/${name}/dist/test`
     return existsSync(root)
       ? readdirSync(root, { recursive: true }).filter((file) => file.endsWith('.test.js')).map((file) => `${root}/${file}`)
       : []
