--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -23,6 +23,7 @@
 import { HostMetrics } from './host-metrics.js'
 import type { HostParts } from './host-parts.js'
 import { HostShutdown } from './host-shutdown.js'
+import { MetricsEndpoint } from './metrics-endpoint.js'
 import { ReadinessServer } from './readiness-server.js'
 
 interface OpenOptions {
@@ -117,6 +118,11 @@
   const readiness = await ReadinessServer.open({
     address: readinessHost as string, port: Number(readinessPort), path: adapter.readinessPath, isReady: () => !isLeaving && catalogue.isConfirmed
   })
+  const metricsEndpoint = settings.metricsPort === undefined
+    ? undefined
+    : await MetricsEndpoint.open({
+      address: settings.address, port: settings.metricsPort, logger, render: async () => await (await import('./render-metrics.js')).renderMetrics(metrics, parts)
+    })
   router.updateHosts([self])
   catalogue.updateHosts([self])
   catalogue.start()
@@ -141,6 +147,7 @@
     links.close()
     peers.destroy()
     readiness.close()
+    metricsEndpoint?.close()
     adapter.store.close()
     logger.info('stopped')
   }
--- /dev/null
+++ b/packages/host/src/program/render-metrics.ts
@@ -0,0 +1,35 @@
+import { Counter, Gauge, Registry } from 'prom-client'
+import type { HostMetrics } from './host-metrics.js'
+import type { HostParts } from './host-parts.js'
+
+/** Builds the metrics text. Loaded only when somebody asks, since its library is a tenth of the process's memory. */
+export async function renderMetrics (metrics: HostMetrics, parts: HostParts): Promise<{ contentType: string, text: string }> {
+  const registry = new Registry()
+  const registers = [registry]
+  const statements = new Counter({ name: 'tanagerusher_statements_total', help: 'Single statements by outcome', labelNames: ['outcome'], registers })
+  for (const [outcome, count] of metrics.statements) statements.inc({ outcome }, count)
+  addLatency(registry, metrics)
+  const { catalogue, registry: owners, clock } = parts
+  new Gauge({ name: 'tanagerusher_catalogue_version', help: 'Version of the catalogue in force', registers }).set(catalogue.replica.version)
+  new Gauge({ name: 'tanagerusher_catalogue_proof_age_ms', help: 'Time since the catalogue was proven to be the newest', registers })
+    .set(catalogue.replica.readProofAge(clock.readTime()))
+  const work = new Gauge({ name: 'tanagerusher_database_work', help: 'Work at the databases whose connections this host holds', labelNames: ['database', 'state'], registers })
+  for (const { record, load, openTransactions } of owners.all) {
+    for (const [state, value] of Object.entries({ ...load, transactions: openTransactions })) work.set({ database: record.id, state }, value)
+  }
+  return { contentType: registry.contentType, text: await registry.metrics() }
+}
+
+/** Prometheus histogram from the counted buckets. */
+function addLatency (registry: Registry, { latency }: HostMetrics): void {
+  const registers = [registry]
+  const buckets = new Gauge({ name: 'tanagerusher_statement_ms_bucket', help: 'Single statements answered within a time', labelNames: ['le'], registers })
+  let cumulative = 0
+  latency.boundsMs.forEach((bound, index) => {
+    cumulative += latency.counts[index] ?? 0
+    buckets.set({ le: String(bound) }, cumulative)
+  })
+  buckets.set({ le: '+Inf' }, latency.count)
+  new Gauge({ name: 'tanagerusher_statement_ms_sum', help: 'Sum of the times', registers }).set(latency.sumMs)
+  new Gauge({ name: 'tanagerusher_statement_ms_count', help: 'Single statements', registers }).set(latency.count)
+}
--- a/packages/runtime/src/log/create-logger.ts
+++ b/packages/runtime/src/log/create-logger.ts
@@ -1,4 +1,5 @@
 import winston from 'winston'
+import { BoundedLogStream } from './bounded-log-stream.js'
 
 interface CreateLoggerOptions {
   /** Name of the program or task. */
@@ -17,6 +18,13 @@
     level,
     defaultMeta: { label, ...fields },
     format: winston.format.combine(winston.format.timestamp(), winston.format.errors({ stack: true }), winston.format.json()),
-    transports: [new winston.transports.Console({ stderrLevels: stream === 'stderr' ? ALL_LEVELS : [] })]
+    transports: [stream === 'stderr' ? new winston.transports.Console({ stderrLevels: ALL_LEVELS }) : createOutputTransport()]
   })
 }
+
+function createOutputTransport (): winston.transport {
+  // A pipe is written synchronously by default, so that a stalled reader would stop the process.
+  const { _handle: handle } = process.stdout as unknown as { _handle?: { setBlocking?: (isBlocking: boolean) => void } }
+  handle?.setBlocking?.(false)
+  return new winston.transports.Stream({ stream: BoundedLogStream.create({ sink: process.stdout, readTime: Date.now }) })
+}
--- a/scripts/build-host.mjs
+++ b/scripts/build-host.mjs
@@ -1,9 +1,11 @@
-// Bundles the host program of the platform into one file, which starts faster than many small modules.
+// Bundles the host program of the platform, which starts faster than many small modules. What is loaded late is a file apart.
 import { build } from 'esbuild'
 
 await build({
-  entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/tanagerusher-host.mjs',
+  entryPoints: { 'tanagerusher-host': 'platform/src/main.ts' },
+  outdir: 'target',
+  outExtension: { '.js': '.mjs' },
+  splitting: true,
   bundle: true,
   platform: 'node',
   target: 'node20',
