Let two relays watch the store for all hosts

Change: one relayed copy for every kind of objects (configuration, databases, hosts), compared by digest in the pings and fetched as a delta; the proof's age counts from before the request it rests on. A host calls the store itself when nobody proves its copy.

--- a/packages/coordination/src/membership/upstream-directory.ts
+++ b/packages/coordination/src/membership/upstream-directory.ts
@@ -10,21 +10,13 @@
  * have lapsed because its database could not write, and is kept until it had time to come back.
  */
 export class UpstreamDirectory {
-  #records = new Map<string, UpstreamRecord>()
+  readonly #records = new Map<string, UpstreamRecord>()
   readonly #lapsed = new Map<string, Lapsed>()
 
   static create (): UpstreamDirectory {
     return new UpstreamDirectory()
   }
 
-  /** Takes a full list. `storeReturnedAt` is when the store was last regained. */
-  applyList (records: readonly UpstreamRecord[], storeReturnedAt: number | undefined, now: number): void {
-    const before = this.#records
-    this.#records = new Map(records.map((record) => [record.id, record]))
-    for (const record of before.values()) if (!this.#records.has(record.id)) this.#lapse(record, storeReturnedAt, now)
-    for (const { id } of records) this.#lapsed.delete(id)
-  }
-
   applyRecord (record: UpstreamRecord): void {
     this.#records.set(record.id, record)
     this.#lapsed.delete(record.id)
--- a/packages/host/src/peer/register-peer-methods.ts
+++ b/packages/host/src/peer/register-peer-methods.ts
@@ -1,7 +1,7 @@
 import { budgetExchange } from '@tanagerusher/protocol/peer/budget-exchange'
-import { catalogueFetch } from '@tanagerusher/protocol/peer/catalogue-fetch'
 import { hostPing } from '@tanagerusher/protocol/peer/host-ping'
 import { leaderChanged } from '@tanagerusher/protocol/peer/leader-changed'
+import { objectsFetch } from '@tanagerusher/protocol/peer/objects-fetch'
 import { leaderPosition } from '@tanagerusher/protocol/peer/leader-position'
 import { upstreamExecute, type UpstreamExecuteResult } from '@tanagerusher/protocol/peer/upstream-execute'
 import { upstreamProbe } from '@tanagerusher/protocol/peer/upstream-probe'
@@ -9,19 +9,17 @@
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
 import type { HostParts } from '../program/host-parts.js'
 
-/** Age sent when there is no proof; far above every limit, and a number that any codec carries. */
-const NO_PROOF_AGE_MS = 1e9
-
 /** Answers the calls of one other host, and ends its transactions when its connection ends. */
 export function registerPeerMethods (connection: PeerConnection, parts: HostParts): void {
-  const { clock, budget, catalogue, registry, leaders, upstreams } = parts
+  const { clock, budget, registry, leaders, upstreams } = parts
   const findRecord = (id: string): UpstreamRecord | undefined => upstreams.directory.find(id, clock.readTime())
   connection.addMethod(hostPing, async () => ({
-    isLeaving: parts.isLeaving(),
-    catalogueVersion: catalogue.replica.version,
-    proofAgeMs: Math.min(NO_PROOF_AGE_MS, catalogue.replica.readProofAge(clock.readTime()))
+    isLeaving: parts.isLeaving(), copies: Object.fromEntries(parts.watchers.map((watcher) => [watcher.kind, watcher.describe()]))
   }))
-  connection.addMethod(catalogueFetch, async () => ({ value: catalogue.value }))
+  connection.addMethod(objectsFetch, async ({ kind, since }) => {
+    const watcher = parts.watchers.find((known) => known.kind === kind)
+    return watcher?.listChanges(since) ?? { revision: -1, names: [], changed: [] }
+  })
   connection.addMethod(budgetExchange, async ({ deposits, wants }) => ({ grants: budget.handleExchange(deposits, wants) }))
   connection.addMethod(upstreamExecute, async (params): Promise<UpstreamExecuteResult> => {
     const record = findRecord(params.databaseId)
--- a/packages/host/src/program/host-parts.ts
+++ b/packages/host/src/program/host-parts.ts
@@ -2,6 +2,7 @@
 import type { CatalogueTask } from '../store/catalogue-task.js'
 import type { GroupFreshness } from '../upstream/group-freshness.js'
 import type { OwnerRegistry } from '../upstream/owner-registry.js'
+import type { ObjectWatcher } from '../store/object-watcher.js'
 import type { UpstreamsTask } from '../store/upstreams-task.js'
 import type { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
@@ -15,5 +16,7 @@
   upstreams: UpstreamsTask
   leaders: LeaderView
   findFreshness: (group: string) => GroupFreshness
+  /** All kinds of objects that hosts take from each other. */
+  watchers: readonly ObjectWatcher[]
   isLeaving: () => boolean
 }
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -15,6 +15,7 @@
 import type { HostSettings } from '../settings/host-settings.js'
 import { CatalogueTask } from '../store/catalogue-task.js'
 import { HostsTask } from '../store/hosts-task.js'
+import { RelayChoice } from '../store/relay-choice.js'
 import { UpstreamsTask } from '../store/upstreams-task.js'
 import { GroupFreshness } from '../upstream/group-freshness.js'
 import { OwnerRegistry } from '../upstream/owner-registry.js'
@@ -45,12 +46,24 @@
   const freshness = new Map<string, GroupFreshness>()
   const clock = HostClock.create(() => {
     logger.warn('clocks moved apart: everything that was believed counts as old')
-    catalogue.replica.invalidateProof()
+    for (const watcher of parts.watchers) watcher.invalidateProof()
+    catalogue.invalidateProof()
     for (const group of freshness.values()) group.clear()
   })
   const metrics = HostMetrics.create()
   const leaders = LeaderView.create()
-  const links = PeerLinks.create({ hello, clock, logger, handlePing: (link, answer, sentAt) => { catalogue.handlePing(link, answer, sentAt) } })
+  const links = PeerLinks.create({
+    hello,
+    clock,
+    logger,
+    handlePing: (link, { copies }, sentAt) => {
+      for (const watcher of parts.watchers) {
+        const state = copies[watcher.kind]
+        if (state !== undefined) watcher.handlePeerState(link, state, sentAt)
+      }
+    }
+  })
+  const relays = RelayChoice.create({ self: host, links })
   const listRecords = (group: string): UpstreamRecord[] => upstreams.directory.listGroup(group, clock.readTime())
   const findFreshness = (group: string): GroupFreshness => {
     const known = freshness.get(group) ?? GroupFreshness.create({ group, self: host, clock, leaders, links, registry, router, listRecords })
@@ -78,22 +91,22 @@
     store: adapter.store,
     location: adapter.catalogueLocation,
     decode: adapter.decodeCatalogue,
-    self: host,
-    links,
+    relays,
     keyFreshnessMs: settings.keyFreshnessMs,
     clock,
     logger,
     handleApplied: (applied) => { budget.updateCatalogue(applied) }
   })
-  const upstreams = UpstreamsTask.create({ store: adapter.store, kind: adapter.upstreamKind, decode: adapter.decodeUpstreamRecord, clock, logger, handleChanged: () => {} })
+  const upstreams = UpstreamsTask.create({ store: adapter.store, kind: adapter.upstreamKind, decode: adapter.decodeUpstreamRecord, relays, clock, logger })
   const hosts = HostsTask.create({
     store: adapter.store,
     self,
+    relays,
     clock,
     logger,
     handleHosts: (records) => {
       router.updateHosts(records)
-      catalogue.updateHosts(records)
+      relays.updateHosts(records)
       budget.updateHosts(records)
     }
   })
@@ -101,7 +114,9 @@
     self, adapter, leaders, links, registry, router, listRecords, findCatalogue: () => catalogue.replica.catalogue, clock, logger
   })
   let isLeaving = false
-  const parts: HostParts = { clock, budget, catalogue, registry, upstreams, leaders, findFreshness, isLeaving: () => isLeaving }
+  const parts: HostParts = {
+    clock, budget, catalogue, registry, upstreams, leaders, findFreshness, watchers: [catalogue.watcher, upstreams.watcher, hosts.watcher], isLeaving: () => isLeaving
+  }
   const peers = await PeerServer.open({
     address: settings.address, port: self.port, hello, handleConnection: (connection) => { registerPeerMethods(connection, parts) }
   })
@@ -124,8 +139,9 @@
       address: settings.address, port: settings.metricsPort, logger, render: async () => await (await import('./render-metrics.js')).renderMetrics(metrics, parts)
     })
   router.updateHosts([self])
-  catalogue.updateHosts([self])
-  catalogue.start()
+  relays.updateHosts([self])
+  relays.start()
+  void catalogue.start()
   void upstreams.start()
   void hosts.start()
   budget.start()
@@ -142,6 +158,7 @@
     catalogue.close()
     upstreams.close()
     hosts.close()
+    relays.close()
     callers.close()
     registry.close()
     links.close()
--- a/packages/host/src/store/hosts-task.ts
+++ b/packages/host/src/store/hosts-task.ts
@@ -4,10 +4,12 @@
 import { hostRecordSchema, type HostRecord } from '@tanagerusher/state/upstream/host-record'
 import type { Logger } from 'winston'
 import { ObjectWatcher } from './object-watcher.js'
+import type { RelayChoice } from './relay-choice.js'
 
 interface CreateOptions {
   store: ObjectStore
   self: HostRecord
+  relays: RelayChoice
   clock: Clock
   logger: Logger
   handleHosts: (hosts: readonly HostRecord[]) => void
@@ -15,32 +17,29 @@
 
 const KIND = 'tanagerusher-hosts'
 /** Hosts come and go seldom, and a host that is gone is found out by its link. */
-const WATCH_WAIT_MS = 10_000
+const WATCH_WAIT_MS = 5000
 const RETRY_MS = 300
 const REGISTER_TRIES = 100
 
 /** Writes this host's record at the start, removes it at the end, and keeps the records of all hosts. */
 export class HostsTask {
   readonly #options: CreateOptions
-  readonly #watcher: ObjectWatcher
+  readonly watcher: ObjectWatcher
   readonly #records = new Map<string, { record: HostRecord, revision: number }>()
   #isLeaving = false
 
   private constructor (options: CreateOptions) {
-    const { store, clock, logger, self } = options
+    const { store, relays, clock, logger, self } = options
     this.#options = options
     this.#records.set(self.host, { record: self, revision: 0 })
-    this.#watcher = ObjectWatcher.create({
+    this.watcher = ObjectWatcher.create({
       store,
       kind: KIND,
       waitMs: WATCH_WAIT_MS,
+      relays,
       clock,
       logger,
-      events: {
-        handleList: (objects) => { this.#handleList(objects) },
-        handleChange: (object, isRemoved) => { this.#handleChange(object, isRemoved) },
-        handleConfirmed: () => {}
-      }
+      events: { handleChanged: (changed, removed) => { this.#handleChanged(changed, removed) } }
     })
   }
 
@@ -52,7 +51,7 @@
 
   async start (): Promise<void> {
     void this.#register()
-    await this.#watcher.run()
+    await this.watcher.run()
   }
 
   /** Removes the record, so that other hosts choose other owners. */
@@ -74,7 +73,7 @@
   }
 
   close (): void {
-    this.#watcher.close()
+    this.watcher.close()
   }
 
   async #register (): Promise<void> {
@@ -92,19 +91,13 @@
     }
   }
 
-  #handleList (objects: readonly StoreObject[]): void {
-    const own = this.#records.get(this.#options.self.host)
-    this.#records.clear()
-    if (own !== undefined) this.#records.set(this.#options.self.host, own)
-    for (const object of objects) this.#take(object)
-    this.#options.handleHosts(this.hosts)
-  }
-
-  #handleChange (object: StoreObject, isRemoved: boolean): void {
+  #handleChanged (changed: readonly StoreObject[], removed: readonly string[]): void {
     const { self } = this.#options
-    if (!isRemoved) this.#take(object)
-    else if (object.name !== self.host) this.#records.delete(object.name)
-    else if (!this.#isLeaving) void this.#register()
+    for (const name of removed) {
+      if (name !== self.host) this.#records.delete(name)
+      else if (!this.#isLeaving) void this.#register()
+    }
+    for (const object of changed) this.#take(object)
     this.#options.handleHosts(this.hosts)
   }
 
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -1,18 +1,22 @@
-import type { WatchEvents } from './watch-events.js'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { ObjectStore, StoreFailure } from '@tanagerusher/coordination/common/object-store'
+import { RelayedObjects, type RelayedState } from '@tanagerusher/coordination/configuration/relayed-objects'
+import { objectsFetch } from '@tanagerusher/protocol/peer/objects-fetch'
 import type { Logger } from 'winston'
+import type { z } from 'zod'
+import type { PeerLink } from '../peer/peer-link.js'
+import type { RelayChoice } from './relay-choice.js'
+import type { WatchEvents } from './watch-events.js'
 
 interface CreateOptions {
   store: ObjectStore
   kind: string
   /** Longest wait of one watch call. */
   waitMs: number
+  relays: RelayChoice
   clock: Clock
   logger: Logger
   events: WatchEvents
-  /** Whether to call the store now; asked before each call. Another host's news may do instead. */
-  isWanted?: () => boolean
 }
 
 const MINIMUM_RETRY_MS = 100
@@ -20,14 +24,23 @@
 const UNWANTED_PAUSE_MS = 100
 /** A watch that keeps answering at once must not turn into a loop of calls. */
 const MINIMUM_PERIOD_MS = 50
+/** A host whose relays are silent for so long beyond their watch calls the store itself. */
+const OWN_CALL_AFTER_MS = 1400
+const FETCH_TIMEOUT_MS = 1000
 
-/** Keeps one kind of objects current: a list, then watches; a list again when the history is gone. */
+/**
+ * Keeps one kind of objects current. A relay calls the store: a list, then watches, a list again when the history is gone. Other
+ * hosts list once and then take what the relays know, and call the store only when nobody proves their copy any more.
+ */
 export class ObjectWatcher {
   readonly #options: CreateOptions
-  #revision: number | undefined
+  readonly #copy = RelayedObjects.create()
+  #isListDue = true
   #failures = 0
   #isClosed = false
+  #isFetching = false
   #lostAt: number | undefined
+  #returnedAt: number | undefined
 
   private constructor (options: CreateOptions) {
     this.#options = options
@@ -37,23 +50,47 @@
     return new ObjectWatcher(options)
   }
 
-  /** Time of the last return of the store after it could not be reached; undefined when it never failed. */
-  regainedAt: number | undefined
+  get kind (): string { return this.#options.kind }
 
   /** Time since the store has not answered; 0 while it does. */
   readLostMs (now: number): number {
     return this.#lostAt === undefined ? 0 : now - this.#lostAt
   }
 
+  /** When the store was last regained, here or at a host whose news is used; now while it is lost. */
+  findStoreReturn (): number | undefined {
+    return this.#lostAt === undefined ? this.#returnedAt : this.#options.clock.readTime()
+  }
+
+  describe (): RelayedState {
+    return this.#copy.describe(this.findStoreReturn(), this.#options.clock.readTime())
+  }
+
+  listChanges (since: number): z.infer<typeof objectsFetch.result> {
+    return this.#copy.listChanges(since)
+  }
+
+  invalidateProof (): void {
+    this.#copy.invalidateProof()
+  }
+
+  /** What another host said of its copy, in the answer to a ping that was sent at `sentAt`. */
+  handlePeerState (link: PeerLink, state: RelayedState, sentAt: number): void {
+    const returnedAt = sentAt - state.returnAgeMs
+    if (returnedAt > (this.#returnedAt ?? 0)) this.#returnedAt = returnedAt
+    const news = this.#copy.compare(state, sentAt)
+    if (news.type === 'confirmed') this.#options.events.handleConfirmed?.(sentAt - state.ageMs)
+    else if (news.type === 'newer' && !this.#isListDue) void this.#fetch(link)
+  }
+
   async run (): Promise<void> {
-    const { isWanted = () => true } = this.#options
     while (!this.#isClosed) {
-      if (!isWanted()) {
+      if (!this.#isStoreWanted()) {
         await pause(UNWANTED_PAUSE_MS)
         continue
       }
       const startedAt = this.#options.clock.readTime()
-      const failure = this.#revision === undefined ? await this.#list() : await this.#watch(this.#revision)
+      const failure = this.#isListDue ? await this.#list() : await this.#watch(this.#copy.revision)
       if (this.#isClosed) return
       this.#recordOutcome(failure)
       const elapsedMs = this.#options.clock.readTime() - startedAt
@@ -65,32 +102,65 @@
     this.#isClosed = true
   }
 
+  #isStoreWanted (): boolean {
+    const { relays, waitMs, clock } = this.#options
+    return this.#isListDue || relays.isSelf || this.#copy.readProofAge(clock.readTime()) > waitMs + OWN_CALL_AFTER_MS
+  }
+
   async #list (): Promise<StoreFailure | undefined> {
-    const sentAt = this.#options.clock.readTime()
-    const answer = await this.#options.store.list(this.#options.kind)
+    const { store, kind, clock, events } = this.#options
+    const sentAt = clock.readTime()
+    const answer = await store.list(kind)
     if (answer.type !== 'ok') return answer
     if (this.#isClosed) return undefined
-    this.#revision = answer.value.revision
-    this.#options.events.handleList(answer.value.objects)
-    this.#options.events.handleConfirmed(sentAt)
+    this.#isListDue = false
+    const { objects, revision } = answer.value
+    events.handleChanged(objects, this.#copy.applyList(objects, revision), 'store')
+    this.#confirm(sentAt)
     return undefined
   }
 
   async #watch (revision: number): Promise<StoreFailure | undefined> {
-    const sentAt = this.#options.clock.readTime()
-    const answer = await this.#options.store.watch(this.#options.kind, revision, this.#options.waitMs)
+    const { store, kind, waitMs, clock, events } = this.#options
+    const sentAt = clock.readTime()
+    const answer = await store.watch(kind, revision, waitMs)
     if (answer.type !== 'ok') return answer
     if (this.#isClosed) return undefined
-    this.#revision = answer.value.revision
-    for (const { object, isRemoved } of answer.value.changes) this.#options.events.handleChange(object, isRemoved)
-    this.#options.events.handleConfirmed(sentAt)
+    const { changes } = answer.value
+    this.#copy.applyChanges(changes, answer.value.revision)
+    if (changes.length > 0) {
+      const last = new Map(changes.map((change) => [change.object.name, change]))
+      const kept = [...last.values()].filter(({ isRemoved }) => !isRemoved).map(({ object }) => object)
+      events.handleChanged(kept, [...last.values()].filter(({ isRemoved }) => isRemoved).map(({ object }) => object.name), 'store')
+    }
+    this.#confirm(sentAt)
     return undefined
   }
 
+  async #fetch (link: PeerLink): Promise<void> {
+    if (this.#isFetching) return
+    this.#isFetching = true
+    const { kind, events, logger } = this.#options
+    try {
+      const delta = await link.request(objectsFetch, { kind, since: this.#copy.revision }, FETCH_TIMEOUT_MS)
+      const applied = this.#copy.applyDelta(delta)
+      if (applied !== undefined && !this.#isClosed) events.handleChanged(delta.changed, applied.removed, link.record.host)
+    } catch (error) {
+      logger.warn('changes were not fetched', { kind, peer: link.record.host, reason: String((error as Error).message) })
+    } finally {
+      this.#isFetching = false
+    }
+  }
+
+  #confirm (sentAt: number): void {
+    this.#copy.confirm(sentAt)
+    this.#options.events.handleConfirmed?.(sentAt)
+  }
+
   #recordOutcome (failure: StoreFailure | undefined): void {
     const { logger, kind, clock } = this.#options
     if (failure?.type === 'history-gone') {
-      this.#revision = undefined
+      this.#isListDue = true
       logger.warn('history of the store is gone', { kind })
       return
     }
@@ -99,7 +169,7 @@
       if (this.#lostAt === undefined) return
       logger.info('store regained', { kind, lostMs: Math.round(this.readLostMs(clock.readTime())) })
       this.#lostAt = undefined
-      this.regainedAt = clock.readTime()
+      this.#returnedAt = clock.readTime()
       return
     }
     this.#failures++
--- /dev/null
+++ b/packages/host/src/store/relay-choice.ts
@@ -0,0 +1,58 @@
+import { computeRendezvousOrder } from '@tanagerusher/coordination/membership/compute-rendezvous-order'
+import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
+import type { PeerLinks } from '../peer/peer-links.js'
+
+interface CreateOptions {
+  self: string
+  links: PeerLinks
+}
+
+/** Hosts that watch the store; the others hear from them. The second covers the loss of the first. */
+const RELAYS = 2
+const TICK_MS = 500
+
+/** Which hosts watch the store for all: the first ones in an order that all hosts compute alike, of those that answer. */
+export class RelayChoice {
+  readonly #options: CreateOptions
+  #hosts: readonly HostRecord[] = []
+  #relays: HostRecord[] = []
+  #timer: NodeJS.Timeout | undefined
+
+  private constructor (options: CreateOptions) {
+    this.#options = options
+  }
+
+  static create (options: CreateOptions): RelayChoice {
+    return new RelayChoice(options)
+  }
+
+  get isSelf (): boolean { return this.#relays.some(({ host }) => host === this.#options.self) }
+
+  start (): void {
+    this.#tick()
+  }
+
+  updateHosts (hosts: readonly HostRecord[]): void {
+    this.#hosts = hosts
+    this.#choose()
+  }
+
+  close (): void {
+    clearTimeout(this.#timer)
+  }
+
+  #choose (): void {
+    const { links, self } = this.#options
+    const usable = this.#hosts.filter((record) => record.host === self || links.find(record).readDownMs() === 0)
+    const order = computeRendezvousOrder('store relays', usable.map(({ host }) => host)).slice(0, RELAYS)
+    this.#relays = usable.filter(({ host }) => order.includes(host))
+  }
+
+  /** Keeps the links to the relays open; their pings bring the news. */
+  #tick (): void {
+    const { links, self } = this.#options
+    this.#choose()
+    for (const relay of this.#relays) if (relay.host !== self) void links.find(relay).prepare()
+    this.#timer = setTimeout(() => { this.#tick() }, TICK_MS)
+  }
+}
--- a/packages/host/src/store/upstreams-task.ts
+++ b/packages/host/src/store/upstreams-task.ts
@@ -5,15 +5,16 @@
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import type { Logger } from 'winston'
 import { ObjectWatcher } from './object-watcher.js'
+import type { RelayChoice } from './relay-choice.js'
 
 interface CreateOptions {
   store: ObjectStore
   /** Kind under which databases register. */
   kind: string
   decode: (object: StoreObject) => UpstreamRecord | undefined
+  relays: RelayChoice
   clock: Clock
   logger: Logger
-  handleChanged: () => void
 }
 
 /** A database that leaves must be known well inside the draining limit, also when a watch falls silent. */
@@ -23,22 +24,19 @@
 export class UpstreamsTask {
   readonly directory = UpstreamDirectory.create()
   readonly #options: CreateOptions
-  readonly #watcher: ObjectWatcher
+  readonly watcher: ObjectWatcher
 
   private constructor (options: CreateOptions) {
-    const { store, kind, clock, logger } = options
+    const { store, kind, relays, clock, logger } = options
     this.#options = options
-    this.#watcher = ObjectWatcher.create({
+    this.watcher = ObjectWatcher.create({
       store,
       kind,
       waitMs: WATCH_WAIT_MS,
+      relays,
       clock,
       logger,
-      events: {
-        handleList: (objects) => { this.#handleList(objects) },
-        handleChange: (object, isRemoved) => { this.#handleChange(object, isRemoved) },
-        handleConfirmed: () => {}
-      }
+      events: { handleChanged: (changed, removed, source) => { this.#handleChanged(changed, removed, source) } }
     })
   }
 
@@ -47,32 +45,25 @@
   }
 
   async start (): Promise<void> {
-    await this.#watcher.run()
+    await this.watcher.run()
   }
 
   close (): void {
-    this.#watcher.close()
+    this.watcher.close()
   }
 
-  #handleList (objects: readonly StoreObject[]): void {
-    const records = objects.flatMap((object) => this.#decode(object) ?? [])
-    this.directory.applyList(records, this.#findReturn(), this.#options.clock.readTime())
-    this.#options.handleChanged()
-  }
-
-  #handleChange (object: StoreObject, isRemoved: boolean): void {
-    const { logger, clock, handleChanged } = this.#options
-    const record = isRemoved ? undefined : this.#decode(object)
-    if (record === undefined) this.directory.remove(object.name, this.#findReturn(), clock.readTime())
-    else this.directory.applyRecord(record)
-    logger.info('directory changed', { database: object.name, revision: object.revision, isRemoved, group: record?.group, isLeaving: record?.isLeaving, claimsPrimary: record?.claimsPrimary })
-    handleChanged()
-  }
-
-  /** While the store cannot be reached, its return lies ahead. */
-  #findReturn (): number | undefined {
-    const now = this.#options.clock.readTime()
-    return this.#watcher.readLostMs(now) > 0 ? now : this.#watcher.regainedAt
+  #handleChanged (changed: readonly StoreObject[], removed: readonly string[], source: string): void {
+    const { logger, clock } = this.#options
+    for (const name of removed) {
+      this.directory.remove(name, this.watcher.findStoreReturn(), clock.readTime())
+      logger.info('directory changed', { database: name, isRemoved: true, source })
+    }
+    for (const object of changed) {
+      const record = this.#decode(object)
+      if (record === undefined) this.directory.remove(object.name, undefined, clock.readTime())
+      else this.directory.applyRecord(record)
+      logger.info('directory changed', { database: object.name, revision: object.revision, group: record?.group, isLeaving: record?.isLeaving, claimsPrimary: record?.claimsPrimary, source })
+    }
   }
 
   #decode (object: StoreObject): UpstreamRecord | undefined {
--- a/packages/host/src/store/watch-events.ts
+++ b/packages/host/src/store/watch-events.ts
@@ -1,9 +1,9 @@
 import type { StoreObject } from '@tanagerusher/coordination/common/store-object'
 
+/** What becomes known of one kind of objects, from the store or from another host. */
 export interface WatchEvents {
-  /** All objects of the kind, after a list. */
-  handleList(objects: readonly StoreObject[]): void
-  handleChange(object: StoreObject, isRemoved: boolean): void
+  /** `removed` are the names that are gone since the last call. */
+  handleChanged(changed: readonly StoreObject[], removed: readonly string[], source: string): void
   /** What was handled so far was complete when a request was sent at `sentAt`. */
-  handleConfirmed(sentAt: number): void
+  handleConfirmed?(sentAt: number): void
 }
--- a/packages/protocol/src/peer/host-ping.ts
+++ b/packages/protocol/src/peer/host-ping.ts
@@ -1,13 +1,10 @@
 import { z } from 'zod'
 
-/** Liveness of a peer connection; the answer carries what every host wants to know. */
+const relayedState = z.object({ revision: z.number(), digest: z.number(), ageMs: z.number(), returnAgeMs: z.number() })
+
+/** Liveness of a peer connection; the answer carries the state of the copies that hosts take from each other. */
 export const hostPing = {
   method: 'host.ping',
   params: z.object({}),
-  result: z.object({
-    isLeaving: z.boolean(),
-    catalogueVersion: z.number(),
-    /** Time since the catalogue was last proven to be the newest. */
-    proofAgeMs: z.number()
-  })
+  result: z.object({ isLeaving: z.boolean(), copies: z.record(z.string(), relayedState) })
 } as const
