Reload settings on SIGHUP and when the file changes

Change: programs check their settings file on SIGHUP and once a second; the host takes log level and grace period at once and names the fields that wait for the next start. A wrong file leaves the settings in force.

--- a/packages/host/src/program/host-shutdown.ts
+++ b/packages/host/src/program/host-shutdown.ts
@@ -30,20 +30,27 @@
 export class HostShutdown {
   readonly #options: CreateOptions
   #answerDeadline: number | undefined
+  #graceMs: number
 
   private constructor (options: CreateOptions) {
     this.#options = options
+    this.#graceMs = options.graceMs
   }
 
   static create (options: CreateOptions): HostShutdown {
     return new HostShutdown(options)
   }
 
+  updateGrace (graceMs: number): void {
+    this.#graceMs = graceMs
+  }
+
   /** Time by which the last answer must have been written; undefined while the host does not stop. */
   get answerDeadline (): number | undefined { return this.#answerDeadline }
 
   async run (): Promise<void> {
-    const { graceMs, callers, hosts, clock, logger } = this.#options
+    const { callers, hosts, clock, logger } = this.#options
+    const graceMs = this.#graceMs
     const startedAt = clock.readTime()
     this.#answerDeadline = startedAt + graceMs - MARGIN_MS - ANSWER_MARGIN_MS
     logger.info('stopping', { sessions: callers.size, transactions: callers.openTransactions })
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -36,7 +36,7 @@
 const DEFAULT_MAX_CONNECTIONS = 10
 
 /** Starts all tasks of a host and wires them. Callers are served as soon as the catalogue is known. */
-export async function openHost ({ settings, adapter }: OpenOptions): Promise<{ close: () => Promise<void> }> {
+export async function openHost ({ settings, adapter }: OpenOptions): Promise<{ close: () => Promise<void>, reload: (settings: HostSettings) => void }> {
   const { host, dataCentre, region } = settings
   const incarnation = randomUUID().slice(0, 8)
   const self: HostRecord = { host, incarnation, address: settings.address, port: settings.internalPorts[0], dataCentre, region }
@@ -170,6 +170,12 @@
   }
   const shutdown: HostShutdown = HostShutdown.create({ graceMs: settings.graceSeconds * 1000, callers, registry, hosts, clock, logger })
   return {
+    reload: (changed) => {
+      const fields = Object.keys(changed).filter((field) => JSON.stringify(changed[field]) !== JSON.stringify(settings[field]))
+      logger.level = changed.logLevel
+      shutdown.updateGrace(changed.graceSeconds * 1000)
+      logger.info('settings reloaded', { changed: fields, atNextStart: fields.filter((field) => !RELOADED_FIELDS.includes(field)) })
+    },
     close: async () => {
       isLeaving = true
       failover.close()
@@ -179,5 +185,7 @@
   }
 }
 
+/** Settings that take effect without a new start. */
+const RELOADED_FIELDS = ['logLevel', 'graceSeconds']
 /** A replica read waits this long for a first position before it goes to the primary. */
 const READ_POSITION_WAIT_MS = 150
--- a/packages/runtime/src/process/run-program.ts
+++ b/packages/runtime/src/process/run-program.ts
@@ -6,8 +6,10 @@
 import { exitCodes } from './exit-codes.js'
 
 /** Something that runs until it is closed. `close` is a graceful shutdown. */
-interface Service {
+interface Service<Settings> {
   close(): Promise<void>
+  /** Takes changed settings, after SIGHUP or when the file has changed. Without it a change waits for the next start. */
+  reload?(settings: Settings): void
 }
 
 interface RunProgramOptions<Schema extends z.ZodType> {
@@ -16,10 +18,12 @@
   schema: Schema
   /** Used when the command line names no settings file. */
   defaultConfigFile?: string | undefined
-  start: (settings: z.infer<Schema>) => Promise<Service>
+  start: (settings: z.infer<Schema>) => Promise<Service<z.infer<Schema>>>
 }
 
 const VERSION = '0.1.0'
+/** Small beside every bound on how soon a change of the settings must be in force. */
+const SETTINGS_CHECK_MS = 1000
 
 /**
  * Command line of a server program: `--config FILE`, `--check-config`, `--help`, `--version`. The first SIGTERM or
@@ -41,6 +45,26 @@
   }
   const service = await options.start(settings)
   stopOnSignal(service)
+  reloadOnChange(options.schema, flags.config, service)
+}
+
+/** Settings may change without a signal, and SIGHUP ends a process that does not handle it. */
+function reloadOnChange<Schema extends z.ZodType> (schema: Schema, file: string, service: Service<z.infer<Schema>>): void {
+  let known = readFileSync(file, 'utf8')
+  const check = (): void => {
+    try {
+      const text = readFileSync(file, 'utf8')
+      if (text === known) return
+      known = text
+      const parsed = parseSettings(schema, text)
+      if (parsed.isOk()) service.reload?.(parsed.value)
+      else console.error(`${parsed.error.message} ${parsed.error.hint} The settings in force stay.`)
+    } catch (error) {
+      console.error(`The settings file cannot be read: ${String(error)}. The settings in force stay.`)
+    }
+  }
+  process.on('SIGHUP', check)
+  setInterval(check, SETTINGS_CHECK_MS).unref()
 }
 
 function loadSettings<Schema extends z.ZodType> (schema: Schema, file: string): z.infer<Schema> {
@@ -58,7 +82,7 @@
   process.exit(exitCodes.settingsInvalid)
 }
 
-function stopOnSignal (service: Service): void {
+function stopOnSignal (service: Pick<Service<unknown>, 'close'>): void {
   let stopping = false
   const handleSignal = (): void => {
     if (stopping) process.exit(exitCodes.interrupted)
