--- a/packages/coordination/src/session/caller-session.ts
+++ b/packages/coordination/src/session/caller-session.ts
@@ -16,6 +16,9 @@
     return new CallerSession()
   }
 
+  /** Time of the last acknowledged commit; -Infinity before the first. */
+  committedAt = -Infinity
+
   get values (): Array<[string, string]> { return [...this.#values] }
   get floor (): Position | undefined { return this.#floor }
 
@@ -36,7 +39,8 @@
   }
 
   /** A commit of this session was acknowledged at a log position. */
-  recordCommit (position: Position | undefined): void {
+  recordCommit (position: Position | undefined, now: number): void {
+    this.committedAt = now
     if (position === undefined) return
     if (this.#floor === undefined || comparePositions(position, this.#floor) > 0) this.#floor = position
   }
--- a/packages/coordination/test/budget/token-exchange.test.ts
+++ b/packages/coordination/test/budget/token-exchange.test.ts
@@ -87,3 +87,12 @@
     return ((state ^ (state >>> 13)) >>> 0) / 2 ** 32
   }
 }
+
+test('what accrues between two deposits is not cut off at the ceiling (deposits once a second lost half of the rate)', () => {
+  const fleet = createFleet(8)
+  let deposited = 0
+  for (let now = 0; now <= 8000; now += 400) {
+    for (const host of fleet.hosts) deposited += host.takeOrder(now, true).deposits.org ?? 0
+  }
+  assert.ok(deposited >= LIMIT.ratePerSecond * 8 * 0.95, `${deposited} of ${LIMIT.ratePerSecond * 8} deposited`)
+})
--- a/packages/host/src/budget/budget-task.ts
+++ b/packages/host/src/budget/budget-task.ts
@@ -24,8 +24,8 @@
 interface Waiter { organisation: string, resolve: (isTaken: boolean) => void, deadline: number }
 
 const EXCHANGE_EVERY_MS = 250
-/** Deposits alone may wait; they only fill the pool. */
-const DEPOSIT_EVERY_MS = 1000
+/** Deposits alone may wait, but not longer than a host's ceiling takes to fill: half a burst, which accrues in half a second. */
+const DEPOSIT_EVERY_MS = 400
 /** Soonest exchange after the last one, when a request waits for a token. */
 const EXCHANGE_SOON_MS = 60
 const EXCHANGE_TIMEOUT_MS = 600
--- a/packages/host/src/caller/caller-task.ts
+++ b/packages/host/src/caller/caller-task.ts
@@ -202,7 +202,7 @@
     }
     const { answer, wasSent } = result
     if (answer.type === 'done') {
-      this.#session.recordCommit(answer.position)
+      this.#session.recordCommit(answer.position, this.#services.clock.readTime())
       this.#write(this.#codec.formatDone(answer.rows, answer.proof, 'idle', answer.position))
       return
     }
@@ -239,7 +239,7 @@
       this.#fail(id, answer.failure, answer.text)
       return
     }
-    if (statement.access === 'write') this.#session.recordCommit(answer.position)
+    if (statement.access === 'write') this.#session.recordCommit(answer.position, this.#services.clock.readTime())
     this.#write(this.#codec.formatDone(answer.rows, answer.proof, 'idle', answer.position))
   }
 
@@ -318,6 +318,7 @@
       organisation: organisation ?? PUBLIC_ORGANISATION,
       values: this.#session.values,
       floor: this.#session.floor,
+      committedAt: this.#session.committedAt,
       deadline: Math.min(this.#services.clock.readTime() + entry.statementTimeoutMs * USED_PART, this.#services.findAnswerDeadline() ?? Infinity)
     }
   }
--- a/packages/host/src/caller/operation-context.ts
+++ b/packages/host/src/caller/operation-context.ts
@@ -8,4 +8,6 @@
   values: Array<[string, string]>
   floor: Position | undefined
   deadline: number
+  /** Time of the session's last commit. */
+  committedAt: number
 }
--- a/packages/host/src/caller/operation-runner.ts
+++ b/packages/host/src/caller/operation-runner.ts
@@ -5,6 +5,7 @@
 import type { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
 import { decideStatementOutcome, type StatementDecision } from '@tanagerusher/coordination/outcome/decide-statement-outcome'
 import { chooseReadUpstream } from '@tanagerusher/coordination/placement/choose-read-upstream'
+import { LagMemory } from '@tanagerusher/coordination/placement/lag-memory'
 import type { UpstreamExecuteParams } from '@tanagerusher/protocol/peer/upstream-execute'
 import type { StatementAnswer } from '@tanagerusher/state/upstream/statement-answer'
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
@@ -29,6 +30,8 @@
 }
 
 const MAXIMUM_ATTEMPTS = 6
+/** Replicas receive a commit about this late; a session reads its newer ones at the primary. */
+const REPLICATION_MS = 150
 const RETRY_PAUSE_MS = 40
 /** With less time left a statement has no chance to be answered. */
 const MINIMUM_LEFT_MS = 20
@@ -37,6 +40,8 @@
 export class OperationRunner {
   readonly #options: CreateOptions
 
+  readonly #lags = LagMemory.create()
+
   private constructor (options: CreateOptions) {
     this.#options = options
   }
@@ -47,7 +52,7 @@
 
   async runSingle (context: OperationContext, { id, text, access, needed }: SingleStatement): Promise<FinalAnswer> {
     const operation: UpstreamExecuteParams['operation'] = { type: 'run', id, text, access, transaction: 'none', isReadOnly: false }
-    const mayUseReplica = access === 'read' && context.entry.consistency !== 'primary'
+    const mayUseReplica = access === 'read' && this.#mayUseReplica(context)
     let answer: FinalAnswer | undefined
     const failure = await this.#tryDatabases(context, mayUseReplica, id, async (record, replicaRead) => {
       const { result } = await this.#options.router.execute(record, this.#buildParams(context, operation, replicaRead, needed))
@@ -64,7 +69,7 @@
    * sent nothing is kept, so all of it may be tried again elsewhere.
    */
   async begin (context: OperationContext, isReadOnly: boolean, first: SingleStatement | undefined): Promise<BeginResult> {
-    const mayUseReplica = isReadOnly && context.entry.consistency !== 'primary'
+    const mayUseReplica = isReadOnly && this.#mayUseReplica(context)
     const operation: UpstreamExecuteParams['operation'] = first === undefined
       ? { type: 'begin', isReadOnly }
       : { type: 'run', id: first.id, text: first.text, access: first.access, transaction: 'opens', isReadOnly }
@@ -93,6 +98,11 @@
     return await this.#options.router.execute(place.record, this.#buildParams({ ...context, session: place.session }, operation, undefined, needed), place.host)
   }
 
+  #mayUseReplica ({ entry, committedAt }: OperationContext): boolean {
+    if (entry.consistency === 'primary') return false
+    return entry.consistency === 'bounded-staleness' || this.#options.clock.readTime() - committedAt > REPLICATION_MS
+  }
+
   /** Tries databases until one carries the operation out. Returns why none did. */
   async #tryDatabases (
     context: OperationContext, mayUseReplica: boolean, id: string, attempt: (record: UpstreamRecord, replicaRead: UpstreamExecuteParams['replicaRead']) => Promise<string | undefined>
@@ -113,9 +123,13 @@
       const replicaRead = mayUseReplica && chosen.id !== leader?.id ? { maxStalenessMs, floor: context.floor } : undefined
       const sentAt = clock.readTime()
       reason = await attempt(chosen, replicaRead)
-      if (reason === undefined) return undefined
+      if (reason === undefined) {
+        this.#lags.recordServed(chosen.id)
+        return undefined
+      }
       logger.info('attempt failed', { request: id, database: chosen.id, attempt: attempts + 1, reason, tookMs: Math.round(clock.readTime() - sentAt) })
       excluded.add(chosen.id)
+      if (reason.startsWith('lagging')) this.#lags.recordLag(chosen.id, clock.readTime())
       if (!mayUseReplica) await pause(RETRY_PAUSE_MS)
     }
     return reason
@@ -123,7 +137,7 @@
 
   #chooseForRead (records: readonly UpstreamRecord[], leader: UpstreamRecord | undefined, excluded: ReadonlySet<string>): UpstreamRecord | undefined {
     const candidates = records.filter(({ id }) => !excluded.has(id)).map((record) => ({
-      id: record.id, record, isLeader: record.id === leader?.id, isLeaving: record.isLeaving, ...this.#options.router.estimateWait(record)
+      id: record.id, record, isLeader: record.id === leader?.id, isLeaving: record.isLeaving, isBehind: this.#lags.isBehind(record.id, this.#options.clock.readTime()), ...this.#options.router.estimateWait(record)
     }))
     return chooseReadUpstream(candidates)?.record
   }
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { ObjectStore, StoreFailure } from '@tanagerusher/coordination/common/object-store'
-import { RelayedObjects, type RelayedState } from '@tanagerusher/coordination/configuration/relayed-objects'
+import { RelayedObjects } from '@tanagerusher/coordination/configuration/relayed-objects'
+import type { RelayedState } from '@tanagerusher/coordination/configuration/relayed-state'
 import { objectsFetch } from '@tanagerusher/protocol/peer/objects-fetch'
 import type { Logger } from 'winston'
 import type { z } from 'zod'
--- a/packages/host/src/upstream/database-owner.ts
+++ b/packages/host/src/upstream/database-owner.ts
@@ -179,7 +179,7 @@
     if (slot.type === 'refused') return this.#refuse('busy', this.#describeLoad(slot.reason))
     try {
       const after = replicaRead === undefined ? undefined : this.#events.findReadPosition(this.#record, replicaRead.maxStalenessMs, replicaRead.floor)
-      if (replicaRead !== undefined && after === undefined) return this.#refuse('lagging', 'no position of the primary inside the bound is known')
+      if (replicaRead !== undefined && after === undefined) return this.#refuse('busy', 'no position of the primary inside the bound is known')
       const acquisition = await this.#connections.acquire(organisation, values, Math.min(CONNECTION_WAIT_MS, deadline - this.#clock.readTime()))
       if (acquisition.type !== 'acquired') return this.#refuseAcquisition(acquisition)
       const { held } = acquisition
@@ -237,7 +237,7 @@
     const after = replicaRead === undefined ? undefined : this.#events.findReadPosition(this.#record, replicaRead.maxStalenessMs, replicaRead.floor)
     if (replicaRead !== undefined && after === undefined) {
       this.#connections.release(held)
-      return this.#refuse('lagging', 'no position of the primary inside the bound is known')
+      return this.#refuse('busy', 'no position of the primary inside the bound is known')
     }
     const provesLeader = replicaRead === undefined
     // A read-only transaction goes on at a database that lost the lead, a plain one does not.
