--- a/packages/host/src/caller/operation-runner.ts
+++ b/packages/host/src/caller/operation-runner.ts
@@ -13,6 +13,7 @@
 import type { Logger } from 'winston'
 import type { OwnedOperation, OwnerRouter } from '../upstream/owner-router.js'
 import type { RoutedResult } from '../upstream/routed-result.js'
+import { pause } from '../program/pause.js'
 
 export type FinalAnswer = Extract<StatementDecision, { type: 'answer' }>['answer']
 
@@ -150,7 +151,3 @@
     return { session, organisation, operation, values, needed, replicaRead, timeLeftMs, priority: entry.priority }
   }
 }
-
-async function pause (durationMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, durationMs))
-}
--- a/packages/host/src/peer/peer-link.ts
+++ b/packages/host/src/peer/peer-link.ts
@@ -46,7 +46,6 @@
   #downSince: number | undefined
   #timer: NodeJS.Timeout | undefined
   #isClosed = false
-  #isLeaving = false
   #roundTripMs: number | undefined
 
   private constructor ({ record, hello, clock, logger, handlePing }: CreateOptions) {
@@ -63,7 +62,6 @@
 
   get record (): HostRecord { return this.#record }
   get isUp (): boolean { return this.#connection?.isOpen === true }
-  get isLeaving (): boolean { return this.#isLeaving }
   get roundTripMs (): number | undefined { return this.#roundTripMs }
 
   /** Time for which the host has not been reached; 0 while it is, or when nobody tried. */
@@ -127,7 +125,6 @@
       const answer = await connection.request(hostPing, {}, PING_TIMEOUT_MS)
       const roundTripMs = this.#clock.readTime() - sentAt
       this.#roundTripMs = this.#roundTripMs === undefined ? roundTripMs : this.#roundTripMs + (roundTripMs - this.#roundTripMs) * RTT_SMOOTHING
-      this.#isLeaving = answer.isLeaving
       this.#handlePing(this, answer, sentAt)
     } catch (error) {
       this.#handleFailure(`ping: ${String((error as Error).message)}`)
--- a/packages/host/src/store/hosts-task.ts
+++ b/packages/host/src/store/hosts-task.ts
@@ -64,14 +64,6 @@
     logger.info('left the fleet', { outcome: answer.type })
   }
 
-  /** Removes the record of a host that is gone for good. */
-  async removeHost (host: string): Promise<void> {
-    const known = this.#records.get(host)
-    if (known === undefined) return
-    const answer = await this.#options.store.remove(KIND, host, known.revision)
-    this.#options.logger.info('record of a lost host removed', { host, outcome: answer.type })
-  }
-
   close (): void {
     this.watcher.close()
   }
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -8,6 +8,7 @@
 import type { PeerLink } from '../peer/peer-link.js'
 import type { RelayChoice } from './relay-choice.js'
 import type { WatchEvents } from './watch-events.js'
+import { pause } from '../program/pause.js'
 
 interface CreateOptions {
   store: ObjectStore
@@ -183,7 +184,3 @@
     return Math.min(MAXIMUM_RETRY_MS, MINIMUM_RETRY_MS * 2 ** Math.min(10, this.#failures - 1))
   }
 }
-
-async function pause (durationMs: number): Promise<void> {
-  if (durationMs > 0) await new Promise((resolve) => setTimeout(resolve, durationMs))
-}
--- a/packages/host/src/upstream/group-freshness.ts
+++ b/packages/host/src/upstream/group-freshness.ts
@@ -7,6 +7,7 @@
 import type { PeerLinks } from '../peer/peer-links.js'
 import type { OwnerRegistry } from './owner-registry.js'
 import type { OwnerRouter } from './owner-router.js'
+import { pause } from '../program/pause.js'
 
 interface CreateOptions {
   group: string
@@ -110,7 +111,3 @@
     if (leader !== undefined) await registry.find(leader).probe()
   }
 }
-
-async function pause (durationMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, durationMs))
-}
--- a/packages/host/src/upstream/slot-gate.ts
+++ b/packages/host/src/upstream/slot-gate.ts
@@ -57,7 +57,6 @@
     return ahead * this.#meanMs / this.#slots
   }
 
-  get meanMs (): number { return this.#meanMs }
   get load (): { running: number, waiting: number } { return { running: this.#scheduler.running, waiting: this.#scheduler.waiting + this.#pinned.length } }
 
   async wait ({ organisation, priority, timeLeftMs, isPinned }: WaitOptions): Promise<SlotAnswer> {
