Choose relays and owners by bandwidth, and ping only the links that need it

Cause: the grown sites mix hosts with 7 and 140 Mbit/s. The relays of the store and the owners of databases were chosen by hash alone, so a host on a narrow link could have to send a 256 KB configuration to 58 others (17 s at 7 Mbit/s, 5 s allowed), and the answer to a ping waited behind it, which ended the link. Every host also pinged every owner twice a second (about 2,000 pings a second in a fleet of 59), and computed the order of owners anew for each statement.

Change: hosts write their bandwidth; relays are the widest links, owners are chosen in proportion. A link on which bytes arrive is not lost. Links are pinged every 500 ms only where relays and stand-ins need it, else every 3 s and when a call stays without an answer for 250 ms. Orders of owners are kept until the hosts change.

--- a/packages/coordination/src/membership/compute-rendezvous-order.ts
+++ b/packages/coordination/src/membership/compute-rendezvous-order.ts
@@ -1,23 +1,31 @@
 import { computeHash } from '../common/compute-hash.js'
 
-interface Weighted {
+interface Scored {
   candidate: string
-  weight: number
+  score: number
 }
 
+const HASH_RANGE = 2 ** 32
+
 /**
  * Orders candidates for the ownership of `item` by highest random weight. All hosts that know the same candidates
- * compute the same order, and a candidate that goes moves only the items that it was first for.
+ * compute the same order, and a candidate that goes moves only the items that it was first for. With `findWeight`, a
+ * candidate is first for a part of the items that is proportional to its weight.
  */
-export function computeRendezvousOrder (item: string, candidates: readonly string[]): string[] {
+export function computeRendezvousOrder (item: string, candidates: readonly string[], findWeight: (candidate: string) => number = () => 1): string[] {
   const itemHash = computeHash(item)
-  const weighted = candidates.map((candidate): Weighted => ({ candidate, weight: mixHashes(itemHash, computeHash(candidate)) }))
-  weighted.sort(compareWeights)
-  return weighted.map(({ candidate }) => candidate)
+  const scored = candidates.map((candidate): Scored => ({ candidate, score: computeScore(mixHashes(itemHash, computeHash(candidate)), findWeight(candidate)) }))
+  scored.sort(compareScores)
+  return scored.map(({ candidate }) => candidate)
+}
+
+/** Weighted rendezvous hashing: -weight / ln(u) for a uniform u keeps the order of the hashes where weights are equal. */
+function computeScore (hash: number, weight: number): number {
+  return -weight / Math.log((hash + 0.5) / HASH_RANGE)
 }
 
-function compareWeights (left: Weighted, right: Weighted): number {
-  return right.weight - left.weight || (left.candidate < right.candidate ? -1 : 1)
+function compareScores (left: Scored, right: Scored): number {
+  return right.score - left.score || (left.candidate < right.candidate ? -1 : 1)
 }
 
 /** Finalizer of MurmurHash3 over both hashes: every input bit changes about half of the output bits. */
--- a/packages/host/src/failover/failover-task.ts
+++ b/packages/host/src/failover/failover-task.ts
@@ -28,6 +28,10 @@
 }
 
 const TICK_MS = 200
+/** Hosts in the order of a primary's owners that are ready to take its group over. */
+const STAND_INS = 2
+/** A host that stands in asks so often whether the owners before it answer; often enough to keep their links watched. */
+const WATCH_EVERY_MS = 500
 /** A primary that answered work this recently needs no probe. */
 const PROBE_AFTER_MS = 300
 /** Hosts that are asked whether they reach a silent primary. */
@@ -42,6 +46,7 @@
   readonly #claims: ClaimQueue
   readonly #running = new Set<string>()
   readonly #notBefore = new Map<string, number>()
+  readonly #watchedAt = new Map<string, number>()
   #timer: NodeJS.Timeout | undefined
 
   private constructor (options: CreateOptions) {
@@ -93,9 +98,21 @@
   #isResponsible (group: string, leader: UpstreamRecord | undefined): boolean {
     const { router, links, self } = this.#options
     const order = leader === undefined ? this.#orderHosts(group) : router.listCandidates(leader)
+    this.#watchOwners(group, order)
     return order.find((host) => host.host === self.host || links.find(host).readDownMs() === 0)?.host === self.host
   }
 
+  /** An owner that is lost without a word is found by the hosts that come next in the order, also without traffic to it. */
+  #watchOwners (group: string, order: readonly HostRecord[]): void {
+    const { links, self, clock } = this.#options
+    const now = clock.readTime()
+    if (now - (this.#watchedAt.get(group) ?? -Infinity) < WATCH_EVERY_MS) return
+    this.#watchedAt.set(group, now)
+    const answering = order.filter((host) => host.host === self.host || links.find(host).readDownMs() === 0)
+    const rank = answering.findIndex(({ host }) => host === self.host)
+    if (rank > 0 && rank <= STAND_INS) for (const owner of answering.slice(0, rank)) links.find(owner).watch()
+  }
+
   #orderHosts (group: string): HostRecord[] {
     const { hosts } = this.#options.router
     const byName = new Map(hosts.map((host) => [host.host, host]))
--- a/packages/host/src/peer/peer-link.ts
+++ b/packages/host/src/peer/peer-link.ts
@@ -24,7 +24,14 @@
   handlePing: (link: PeerLink, answer: PingAnswer, sentAt: number) => void
 }
 
-const PING_EVERY_MS = 500
+/** Links whose loss or news decides something at once: those to relays and to owners that this host stands in for. */
+const WATCHED_PING_MS = 500
+/** Other links prove themselves by the answers to calls; pings that nobody needs are the largest cost of a large fleet. */
+const UNWATCHED_PING_MS = 3000
+/** A link counts as watched for so long after it was last asked for as such; asked for every 500 ms at most. */
+const WATCHED_FOR_MS = 1500
+/** A call during which nothing arrives for so long is a reason to ping: some round trips, and less than a ping's own time. */
+const SUSPICION_MS = 250
 /** Some round trips between regions; an open connection may be silent for good. */
 const PING_TIMEOUT_MS = 400
 const CONNECT_WAIT_MS = 300
@@ -45,6 +52,9 @@
   #wantedAt = -Infinity
   #downSince: number | undefined
   #timer: NodeJS.Timeout | undefined
+  #suspicion: NodeJS.Timeout | undefined
+  #watchedAt = -Infinity
+  #isPinging = false
   #isClosed = false
   #roundTripMs: number | undefined
 
@@ -79,11 +89,22 @@
     return this.isUp
   }
 
+  /** Opens the link and finds its loss soon, also without calls; repeated while that is needed. */
+  watch (): void {
+    const now = this.#clock.readTime()
+    const wasWatched = now - this.#watchedAt <= WATCHED_FOR_MS
+    this.#watchedAt = now
+    if (!this.isUp) void this.prepare()
+    else if (!wasWatched) void this.#ping()
+    else this.#wantedAt = now
+  }
+
   async request<Params extends z.ZodType, Result extends z.ZodType> (
     definition: MethodDefinition<Params, Result>, params: z.input<Params>, timeoutMs: number
   ): Promise<z.infer<Result>> {
     this.#wantedAt = this.#clock.readTime()
     if (this.#connection === undefined) throw TanagerusherError.create('peer-failed', { details: { peer: this.#record.host, reason: 'not connected' } })
+    this.#suspect(this.#connection)
     return await this.#connection.request(definition, params, timeoutMs)
   }
 
@@ -92,9 +113,20 @@
   close (): void {
     this.#isClosed = true
     clearTimeout(this.#timer)
+    clearTimeout(this.#suspicion)
     this.#connection?.destroy()
   }
 
+  /** Pings when a call stays without any answer, since an open connection may have fallen silent. */
+  #suspect (connection: PeerConnection): void {
+    if (this.#suspicion !== undefined) return
+    const { bytesReceived } = connection
+    this.#suspicion = setTimeout(() => {
+      this.#suspicion = undefined
+      if (this.#connection === connection && connection.bytesReceived === bytesReceived) void this.#ping()
+    }, SUSPICION_MS)
+  }
+
   async #open (): Promise<void> {
     try {
       const connection = await openPeerConnection({ host: this.#record.address, port: this.#record.port, hello: this.#hello })
@@ -119,19 +151,29 @@
 
   async #ping (): Promise<void> {
     const connection = this.#connection
-    if (connection === undefined || this.#isClosed) return
+    if (connection === undefined || this.#isClosed || this.#isPinging) return
+    this.#isPinging = true
+    clearTimeout(this.#timer)
     const sentAt = this.#clock.readTime()
+    const { bytesReceived } = connection
     try {
       const answer = await connection.request(hostPing, {}, PING_TIMEOUT_MS)
       const roundTripMs = this.#clock.readTime() - sentAt
       this.#roundTripMs = this.#roundTripMs === undefined ? roundTripMs : this.#roundTripMs + (roundTripMs - this.#roundTripMs) * RTT_SMOOTHING
       this.#handlePing(this, answer, sentAt)
     } catch (error) {
-      this.#handleFailure(`ping: ${String((error as Error).message)}`)
-      return
+      this.#isPinging = false
+      // The answer to a ping may wait behind a large message; a link on which bytes arrive is not silent.
+      if (!connection.isOpen || connection.bytesReceived === bytesReceived) {
+        this.#handleFailure(`ping: ${String((error as Error).message)}`)
+        return
+      }
     }
-    if (this.#clock.readTime() - this.#wantedAt > IDLE_MS) connection.close()
-    else this.#timer = setTimeout(() => { void this.#ping() }, PING_EVERY_MS)
+    this.#isPinging = false
+    if (this.#connection !== connection) return
+    const now = this.#clock.readTime()
+    if (now - this.#wantedAt > IDLE_MS) connection.close()
+    else this.#timer = setTimeout(() => { void this.#ping() }, now - this.#watchedAt <= WATCHED_FOR_MS ? WATCHED_PING_MS : UNWATCHED_PING_MS)
   }
 
   #handleFailure (reason: string): void {
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -39,9 +39,10 @@
 export async function openHost ({ settings, adapter }: OpenOptions): Promise<{ close: () => Promise<void>, reload: (settings: HostSettings) => void }> {
   const { host, dataCentre, region } = settings
   const incarnation = randomUUID().slice(0, 8)
-  const self: HostRecord = { host, incarnation, address: settings.address, port: settings.internalPorts[0], dataCentre, region }
+  const self: HostRecord = { host, incarnation, address: settings.address, port: settings.internalPorts[0], dataCentre, region, linkMbps: settings.linkMbps }
   const logger = createLogger({ label: 'host', level: settings.logLevel, stream: 'stdout', fields: { host, incarnation } })
-  logger.info('starting', { dataCentre, region })
+  const { graceSeconds, keyFreshnessMs, rateSlack, linkMbps } = settings
+  logger.info('starting', { dataCentre, region, graceSeconds, keyFreshnessMs, rateSlack, linkMbps })
   const hello: PeerHello = { host, incarnation, dataCentre, region, role: 'host', protocolVersions: [2] }
   const freshness = new Map<string, GroupFreshness>()
   const clock = HostClock.create(() => {
--- a/packages/host/src/store/relay-choice.ts
+++ b/packages/host/src/store/relay-choice.ts
@@ -1,4 +1,4 @@
-import { computeRendezvousOrder } from '@tanagerusher/coordination/membership/compute-rendezvous-order'
+import { chooseRelays } from '@tanagerusher/coordination/configuration/choose-relays'
 import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
 import type { PeerLinks } from '../peer/peer-links.js'
 
@@ -7,8 +7,6 @@
   links: PeerLinks
 }
 
-/** Hosts that watch the store; the others hear from them. The second covers the loss of the first. */
-const RELAYS = 2
 const TICK_MS = 500
 
 /** Which hosts watch the store for all: the first ones in an order that all hosts compute alike, of those that answer. */
@@ -26,6 +24,8 @@
     return new RelayChoice(options)
   }
 
+  /** Hosts that are known. */
+  get hosts (): number { return this.#hosts.length }
   get isSelf (): boolean { return this.#relays.some(({ host }) => host === this.#options.self) }
 
   start (): void {
@@ -44,15 +44,14 @@
   #choose (): void {
     const { links, self } = this.#options
     const usable = this.#hosts.filter((record) => record.host === self || links.find(record).readDownMs() === 0)
-    const order = computeRendezvousOrder('store relays', usable.map(({ host }) => host)).slice(0, RELAYS)
-    this.#relays = usable.filter(({ host }) => order.includes(host))
+    this.#relays = chooseRelays(usable)
   }
 
   /** Keeps the links to the relays open; their pings bring the news. */
   #tick (): void {
     const { links, self } = this.#options
     this.#choose()
-    for (const relay of this.#relays) if (relay.host !== self) void links.find(relay).prepare()
+    for (const relay of this.#relays) if (relay.host !== self) links.find(relay).watch()
     this.#timer = setTimeout(() => { this.#tick() }, TICK_MS)
   }
 }
--- a/packages/host/src/upstream/owner-router.ts
+++ b/packages/host/src/upstream/owner-router.ts
@@ -38,6 +38,8 @@
 export class OwnerRouter {
   readonly #options: CreateOptions
   #hosts: readonly HostRecord[] = []
+  /** Orders by database and place: each costs a hash and a sort over all hosts, and every statement needs several. */
+  readonly #candidates = new Map<string, HostRecord[]>()
   readonly #reported = new Map<string, Reported>()
 
   private constructor (options: CreateOptions) {
@@ -50,13 +52,17 @@
 
   updateHosts (hosts: readonly HostRecord[]): void {
     this.#hosts = hosts
+    this.#candidates.clear()
     this.#options.links.updateHosts(hosts)
   }
 
   get hosts (): readonly HostRecord[] { return this.#hosts }
 
   listCandidates (record: UpstreamRecord): HostRecord[] {
-    return listOwnerCandidates(record, this.#hosts, this.#options.regions)
+    const place = `${record.id} ${record.dataCentre}`
+    const known = this.#candidates.get(place) ?? listOwnerCandidates(record, this.#hosts, this.#options.regions)
+    this.#candidates.set(place, known)
+    return known
   }
 
   /** Runs an operation. With `host`, only there: a transaction stays with the owner of its connection. */
--- /dev/null
+++ b/packages/host/test/peer-link.test.ts
@@ -0,0 +1,104 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { hostPing } from '@tanagerusher/protocol/peer/host-ping'
+import { leaderChanged } from '@tanagerusher/protocol/peer/leader-changed'
+import { upstreamProbe } from '@tanagerusher/protocol/peer/upstream-probe'
+import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
+import { createLogger } from '@tanagerusher/runtime/log/create-logger'
+import { PeerServer } from '@tanagerusher/transport/peer/peer-server'
+import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
+import { PeerLink } from '../src/peer/peer-link.js'
+
+/** Above the link's own time limit for a ping. */
+const LATE_MS = 900
+const WATCHED_MS = 1600
+const BUSY_EVERY_MS = 50
+
+function buildHello (host: string): PeerHello {
+  return { host, incarnation: host, dataCentre: 'a', region: 'r', role: 'host', protocolVersions: [2] }
+}
+
+async function pause (ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+}
+
+function createLink (port: number, logger: ReturnType<typeof createLogger>): PeerLink {
+  return PeerLink.create({
+    record: { host: 'h2', incarnation: 'h2', address: '127.0.0.1', port, dataCentre: 'a', region: 'r' },
+    hello: buildHello('h1'),
+    clock: { readTime: () => performance.now() },
+    logger,
+    handlePing: () => {}
+  })
+}
+
+async function countLosses (handleConnection: (connection: PeerConnection) => void): Promise<number> {
+  const server = await PeerServer.open({
+    address: '127.0.0.1',
+    port: 0,
+    hello: buildHello('h2'),
+    handleConnection: (connection) => {
+      connection.addMethod(hostPing, async () => {
+        await pause(LATE_MS)
+        return { isLeaving: false, copies: {} }
+      })
+      handleConnection(connection)
+    }
+  })
+  let losses = 0
+  const logger = createLogger({ label: 'test', level: 'error', stream: 'stdout', fields: {} })
+  logger.warn = () => {
+    losses++
+    return logger
+  }
+  const link = createLink(server.port, logger)
+  await link.prepare()
+  await pause(WATCHED_MS)
+  link.close()
+  server.destroy()
+  return losses
+}
+
+test('a link on which a large message arrives stays up although the answer to a ping waits behind it', async () => {
+  const timers: NodeJS.Timeout[] = []
+  const losses = await countLosses((connection) => {
+    timers.push(setInterval(() => { connection.notify(leaderChanged, { group: 'g', databaseId: 'd', term: 1 }) }, BUSY_EVERY_MS))
+  })
+  for (const timer of timers) clearInterval(timer)
+  assert.equal(losses, 0)
+})
+
+test('a link that nobody watches is pinged seldom, and at once when a call stays without an answer', async () => {
+  let pings = 0
+  const server = await PeerServer.open({
+    address: '127.0.0.1',
+    port: 0,
+    hello: buildHello('h2'),
+    handleConnection: (connection) => {
+      connection.addMethod(hostPing, async () => {
+        pings++
+        return { isLeaving: false, copies: {} }
+      })
+      connection.addMethod(upstreamProbe, async () => {
+        await pause(WATCHED_MS)
+        return { isReachable: true }
+      })
+    }
+  })
+  const link = createLink(server.port, createLogger({ label: 'test', level: 'error', stream: 'stdout', fields: {} }))
+  await link.prepare()
+  await pause(WATCHED_MS)
+  assert.equal(pings, 1)
+  void link.request(upstreamProbe, { databaseId: 'd' }, WATCHED_MS).catch(() => {}) // only what it sets off matters
+  await pause(LATE_MS / 2)
+  assert.equal(pings, 2)
+  link.watch()
+  await pause(WATCHED_MS / 2)
+  assert.ok(pings >= 4, `${pings} pings of a watched link`)
+  link.close()
+  server.destroy()
+})
+
+test('a link on which nothing arrives is given up', async () => {
+  assert.ok(await countLosses(() => {}) > 0)
+})
--- a/packages/state/src/upstream/host-record.ts
+++ b/packages/state/src/upstream/host-record.ts
@@ -7,7 +7,9 @@
   address: z.string().min(1),
   port: z.number().int().positive(),
   dataCentre: z.string(),
-  region: z.string()
+  region: z.string(),
+  /** Bandwidth of its network link in Mbit/s; absent in records of versions before it was written. */
+  linkMbps: z.number().positive().optional()
 })
 
 export type HostRecord = z.infer<typeof hostRecordSchema>
