Call the store only when the relays' proof is missing

Cause: a proof counts from before a watch was sent, so a relay's is up to two watches old, but other hosts called the store themselves after one watch and 1.4 s: each of 59 hosts called every 4 s and at each start three times more.

Change: the limit is two watches and 700 ms; a host that starts waits 1.5 s for the relays; retries of hosts that are no relays are up to four times apart, by the size of the fleet. Tokens are deposited from 0.4 of a ceiling on, except after a start.

Before: 24 hosts on the stand-in, 12 calls a second after the start.

--- a/packages/coordination/src/budget/token-exchange.ts
+++ b/packages/coordination/src/budget/token-exchange.ts
@@ -21,6 +21,10 @@
 const MINIMUM_DEMAND = 1
 /** Smaller amounts are not worth a message. */
 const MINIMUM_AMOUNT = 0.05
+/** Part of a ceiling that must have gathered for a deposit: in a large fleet each host accrues little of each rate. */
+const DEPOSIT_PART = 0.4
+/** After its start a host deposits small amounts too: when all hosts start at once, the home has nothing to give. */
+const START_MS = 3000
 
 /**
  * One host's tokens of every organisation. A host accrues 1/N of each rate; what it does not need it deposits at the
@@ -90,7 +94,7 @@
       if (holding === undefined || !Number.isFinite(ratePerSecond)) continue
       const wanted = computeWanted(holding, now)
       if (wanted - holding.tokens > MINIMUM_AMOUNT) order.wants[name] = wanted - holding.tokens
-      else if (withDeposits && holding.tokens - wanted > MINIMUM_AMOUNT) {
+      else if (withDeposits && holding.tokens - wanted > this.#computeLeastDeposit(holding, name, now)) {
         order.deposits[name] = holding.tokens - wanted
         holding.tokens = wanted
       }
@@ -105,6 +109,15 @@
     }
   }
 
+  #computeLeastDeposit (holding: Holding, organisation: string, now: number): number {
+    return now - this.#startedAt < START_MS ? MINIMUM_AMOUNT : DEPOSIT_PART * this.#computeCeiling(holding, organisation, now)
+  }
+
+  /** Tokens up to which a host accrues. */
+  #computeCeiling (holding: Holding, organisation: string, now: number): number {
+    return Math.max(1, (this.#limits.get(organisation)?.burst ?? 0) * LOCAL_BURST_PART / this.#hosts, computeWanted(holding, now))
+  }
+
   #spend (holding: Holding): boolean {
     if (holding.tokens + Math.min(1, this.#overdraft / this.#hosts) < 1) return false
     holding.tokens--
@@ -117,7 +130,7 @@
     const holding = this.#holdings.get(organisation) ?? { tokens: 0, filledAt: this.#startedAt, demand: 0, demandAt: now }
     this.#holdings.set(organisation, holding)
     const accrued = limit.ratePerSecond / this.#hosts * Math.max(0, now - holding.filledAt) / 1000
-    const ceiling = Math.max(1, limit.burst * LOCAL_BURST_PART / this.#hosts, computeWanted(holding, now))
+    const ceiling = this.#computeCeiling(holding, organisation, now)
     holding.filledAt = now
     // Granted tokens above the ceiling stay until the next exchange; only what accrues is limited.
     if (holding.tokens < ceiling) holding.tokens = Math.min(holding.tokens + accrued, ceiling)
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { ObjectStore, StoreFailure } from '@tanagerusher/coordination/common/object-store'
+import { computeStoreRetry } from '@tanagerusher/coordination/configuration/compute-store-retry'
 import { RelayedObjects } from '@tanagerusher/coordination/configuration/relayed-objects'
 import type { RelayedState } from '@tanagerusher/coordination/configuration/relayed-state'
 import { objectsFetch } from '@tanagerusher/protocol/peer/objects-fetch'
@@ -21,14 +22,19 @@
   events: WatchEvents
 }
 
-const MINIMUM_RETRY_MS = 100
-const MAXIMUM_RETRY_MS = 800
 const UNWANTED_PAUSE_MS = 100
 /** A watch that keeps answering at once must not turn into a loop of calls. */
 const MINIMUM_PERIOD_MS = 50
-/** A host whose relays are silent for so long beyond their watch calls the store itself. */
-const OWN_CALL_AFTER_MS = 1400
-const FETCH_TIMEOUT_MS = 1000
+/**
+ * A watch proves the time before it was sent, so a relay's proof is up to two watches old, and a ping and its way older at the
+ * others. A host whose proof is older than that calls the store itself.
+ */
+const WATCHES_IN_PROOF = 2
+const RELAYED_PROOF_MS = 700
+/** A host that starts does not know the relays yet; its first list is proof enough until it does. */
+const RELAYS_KNOWN_AFTER_MS = 1500
+/** A large configuration for every host takes a relay's link some seconds; a relay that falls silent is found by its pings. */
+const FETCH_TIMEOUT_MS = 4000
 
 /**
  * Keeps one kind of objects current. A relay calls the store: a list, then watches, a list again when the history is gone. Other
@@ -38,6 +44,7 @@
   readonly #options: CreateOptions
   readonly #copy = RelayedObjects.create()
   #isListDue = true
+  readonly #startedAt: number
   #failures = 0
   #isClosed = false
   #isFetching = false
@@ -46,6 +53,7 @@
 
   private constructor (options: CreateOptions) {
     this.#options = options
+    this.#startedAt = options.clock.readTime()
   }
 
   static create (options: CreateOptions): ObjectWatcher {
@@ -106,7 +114,8 @@
 
   #isStoreWanted (): boolean {
     const { relays, waitMs, clock } = this.#options
-    return this.#isListDue || relays.isSelf || this.#copy.readProofAge(clock.readTime()) > waitMs + OWN_CALL_AFTER_MS
+    if (!this.#isListDue && clock.readTime() - this.#startedAt < RELAYS_KNOWN_AFTER_MS) return false
+    return this.#isListDue || relays.isSelf || this.#copy.readProofAge(clock.readTime()) > WATCHES_IN_PROOF * waitMs + RELAYED_PROOF_MS
   }
 
   async #list (): Promise<StoreFailure | undefined> {
@@ -181,6 +190,8 @@
 
   #findRetryMs (failure: StoreFailure): number {
     if (failure.type === 'history-gone') return 0
-    return Math.min(MAXIMUM_RETRY_MS, MINIMUM_RETRY_MS * 2 ** Math.min(10, this.#failures - 1))
+    const { isSelf, hosts } = this.#options.relays
+    // Before the first list there is nothing to serve with, so every host asks at the relays' pace.
+    return computeStoreRetry({ failures: this.#failures, isRelay: isSelf || this.#isListDue, hosts })
   }
 }
