Let a host that leaves stop accruing tokens

A host that stops removes its record, so the others divide the whole rate among themselves at once, while it still accrued its part until the end of its grace period. Change: it lives on what it holds and is granted. The test stops three of four hosts in turn and counts what is admitted.

--- a/packages/coordination/src/budget/token-exchange.ts
+++ b/packages/coordination/src/budget/token-exchange.ts
@@ -39,6 +39,7 @@
   readonly #holdings = new Map<string, Holding>()
   #limits: ReadonlyMap<string, Limit> = new Map()
   #hosts = 0
+  #isAccruing = true
 
   private constructor ({ startedAt, overdraft = 0 }: CreateOptions) {
     this.#startedAt = startedAt
@@ -59,6 +60,12 @@
     for (const name of limits.keys()) this.#fill(name, now)
   }
 
+  /** A host that leaves lives on what it holds and is granted: the others already divide the whole rate among themselves. */
+  stopAccruing (now: number): void {
+    for (const name of this.#limits.keys()) this.#fill(name, now)
+    this.#isAccruing = false
+  }
+
   /** Counts a request and takes its token. False when none is at hand. */
   take (organisation: string, now: number): boolean {
     const holding = this.#fill(organisation, now)
@@ -129,7 +136,7 @@
     if (limit === undefined || this.#hosts === 0) return undefined
     const holding = this.#holdings.get(organisation) ?? { tokens: 0, filledAt: this.#startedAt, demand: 0, demandAt: now }
     this.#holdings.set(organisation, holding)
-    const accrued = limit.ratePerSecond / this.#hosts * Math.max(0, now - holding.filledAt) / 1000
+    const accrued = !this.#isAccruing ? 0 : limit.ratePerSecond / this.#hosts * Math.max(0, now - holding.filledAt) / 1000
     const ceiling = this.#computeCeiling(holding, organisation, now)
     holding.filledAt = now
     // Granted tokens above the ceiling stay until the next exchange; only what accrues is limited.
--- a/packages/coordination/test/budget/token-exchange.test.ts
+++ b/packages/coordination/test/budget/token-exchange.test.ts
@@ -57,6 +57,26 @@
   }
 })
 
+test('hosts that stop one after the other do not raise the admitted rate while they drain', () => {
+  const count = 4
+  const drainMs = 6000
+  const fleet = createFleet(count)
+  const admitted: number[] = []
+  for (let now = 0; now < 20_000; now += 10) {
+    if (now % 250 === 0) exchange(fleet, now)
+    const leaving = [0, 1, 2].filter((host) => now >= 8000 + host * 1500 && now < 8000 + host * 1500 + drainMs)
+    for (const host of leaving) {
+      if (now !== 8000 + host * 1500) continue
+      fleet.hosts[host]?.stopAccruing(now)
+      fleet.hosts.forEach((other, index) => { if (index > host) other.updateLimits(new Map([['org', LIMIT]]), count - host - 1, now) })
+    }
+    for (const host of fleet.hosts) if (host.take('org', now)) admitted.push(now)
+  }
+  const windowMs = 5000
+  const most = Math.max(...admitted.map((at) => admitted.filter((other) => other >= at && other < at + windowMs).length))
+  assert.ok(most <= LIMIT.ratePerSecond * windowMs / 1000 + LIMIT.burst, `${most} admitted in ${windowMs} ms`)
+})
+
 test('a restarted host does not get the burst again', () => {
   const host = TokenExchange.create({ startedAt: 100_000 })
   host.updateLimits(new Map([['org', LIMIT]]), 1, 100_000)
--- a/packages/host/src/budget/budget-task.ts
+++ b/packages/host/src/budget/budget-task.ts
@@ -39,6 +39,7 @@
   readonly #options: CreateOptions
   readonly #exchange: TokenExchange
   readonly #pool = TokenPool.create()
+  readonly #startedAt: number
   #organisations: Catalogue['organisations'] = new Map()
   #hosts: readonly HostRecord[] = []
   #waiters: Waiter[] = []
@@ -49,7 +50,8 @@
 
   private constructor (options: CreateOptions) {
     this.#options = options
-    this.#exchange = TokenExchange.create({ startedAt: options.clock.readTime(), overdraft: options.rateSlack * OVERDRAFT_PART })
+    this.#startedAt = options.clock.readTime()
+    this.#exchange = TokenExchange.create({ startedAt: this.#startedAt, overdraft: options.rateSlack * OVERDRAFT_PART })
   }
 
   static create (options: CreateOptions): BudgetTask {
@@ -70,6 +72,11 @@
     this.#updateLimits()
   }
 
+  /** Time in ms since this host began to accrue tokens. */
+  readUpMs (): number {
+    return this.#options.clock.readTime() - this.#startedAt
+  }
+
   /** Takes a token for one operation, after a short wait if none is at hand. */
   async take (organisation: string, waitMs: number): Promise<boolean> {
     const { clock } = this.#options
@@ -96,6 +103,11 @@
     return Object.fromEntries(Object.entries(wants).map(([name, wanted]) => [name, this.#pool.take(name, wanted)]))
   }
 
+  /** This host leaves and is no longer counted by the others. */
+  stopAccruing (): void {
+    this.#exchange.stopAccruing(this.#options.clock.readTime())
+  }
+
   close (): void {
     this.#isClosed = true
     clearTimeout(this.#timer)
--- a/packages/host/src/caller/caller-task.ts
+++ b/packages/host/src/caller/caller-task.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net'
+import { chooseTokenWait } from '@tanagerusher/coordination/budget/choose-token-wait'
 import type { CallerCheck } from '@tanagerusher/coordination/catalogue/catalogue-replica'
 import type { CallerCodec, CallerMessage } from '@tanagerusher/coordination/common/caller-codec'
 import { decideTransactionFailure } from '@tanagerusher/coordination/outcome/decide-transaction-failure'
@@ -27,8 +28,6 @@
 /** A caller gives up a connection that is not ready after 2 s. */
 const START_WAIT_MS = 1000
 const START_CHECK_MS = 50
-/** Tokens come with the next exchange; a caller that waits longer is better told. */
-const TOKEN_WAIT_MS = 300
 /** Part of a statement's limit that is used, so that the answer is there before the limit. */
 const USED_PART = 0.95
 /** Messages of one caller that may wait; a caller that sends more is not read from. */
@@ -300,7 +299,7 @@
       this.#fail(id, failure, text)
       return undefined
     }
-    if (check.organisation === undefined || await budget.take(check.organisation, TOKEN_WAIT_MS)) return check
+    if (check.organisation === undefined || await budget.take(check.organisation, chooseTokenWait({ upMs: budget.readUpMs(), targetLatencyMs: check.entry.targetLatencyMs }))) return check
     this.#services.logger.info('no token', { request: id, organisation: check.organisation, ...budget.describe(check.organisation) })
     this.#fail(id, 'busy', 'the rate of the organisation is used up; retry after 1000 ms')
     return undefined
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -179,6 +179,7 @@
     },
     close: async () => {
       isLeaving = true
+      budget.stopAccruing()
       failover.close()
       await shutdown.run()
       closeAll()
--- a/packages/host/src/upstream/connection-set.ts
+++ b/packages/host/src/upstream/connection-set.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { UpstreamConnector } from '@tanagerusher/coordination/common/upstream-connector'
+import { ConnectionCap } from '@tanagerusher/coordination/fairness/connection-cap'
 import { ConnectionSetup } from '@tanagerusher/coordination/transaction/connection-setup'
 import { planConnection } from '@tanagerusher/coordination/transaction/plan-connection'
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
@@ -41,6 +42,8 @@
   readonly #opening = new Map<string, number>()
   readonly #handleFree: () => void
   #waiters: Waiter[] = []
+  readonly #cap = ConnectionCap.create()
+  #growTimer: NodeJS.Timeout | undefined
   #limit = 0
   #isClosed = false
 
@@ -86,7 +89,7 @@
       if (!isIdle) count++
       else if (owner === organisation) return true
     }
-    return count < this.#limit
+    return count < this.#cap.computeLimit(this.#limit, this.#clock.readTime())
   }
 
   /** An idle connection of any organisation, which need not wait for one. */
@@ -120,6 +123,7 @@
 
   close (): void {
     this.#isClosed = true
+    clearTimeout(this.#growTimer)
     for (const held of this.#connections) if (held.isIdle) this.#drop(held)
     for (const waiter of this.#takeWaiters(() => true)) waiter.resolve({ type: 'unreachable', reason: 'the host gave the database up' })
   }
@@ -150,7 +154,7 @@
 
   #openFor (organisation: string): void {
     const waiting = this.#waiters.filter((waiter) => waiter.organisation === organisation).length
-    const plan = planConnection({ organisation, connections: [...this.#connections], opening: this.#opening, waiting, limit: this.#limit })
+    const plan = planConnection({ organisation, connections: [...this.#connections], opening: this.#opening, waiting, limit: this.#cap.computeLimit(this.#limit, this.#clock.readTime()) })
     if (plan.type === 'wait') return
     if (plan.type === 'replace') this.#drop(plan.victim)
     void this.#open(organisation)
@@ -166,6 +170,10 @@
       this.#connections.add(held)
       opening.connection.onClose(() => { this.#forget(held) })
       if (this.#isClosed) this.#drop(held)
+    } else if (opening.type === 'refused' && opening.failure === 'connection-limit' && !this.#isClosed) {
+      this.#logger.warn('connection refused', { database: id, organisation, held: this.#connections.size, ...opening })
+      this.#cap.recordRefusal(this.#connections.size, this.#clock.readTime())
+      this.#growLater()
     } else {
       this.#logger.warn('connection refused', { database: id, organisation, ...opening })
       for (const waiter of this.#takeWaiters((other) => other.organisation === organisation)) waiter.resolve(opening)
@@ -173,6 +181,17 @@
     this.#serveWaiters()
   }
 
+  /** Requests go on waiting while the limit of the database leaves no room; a connection may become free meanwhile. */
+  #growLater (): void {
+    clearTimeout(this.#growTimer)
+    const stepMs = this.#isClosed ? undefined : this.#cap.findNextStepMs(this.#limit, this.#clock.readTime())
+    if (stepMs === undefined) return
+    this.#growTimer = setTimeout(() => {
+      this.#serveWaiters()
+      this.#growLater()
+    }, stepMs)
+  }
+
   #forget (held: HeldConnection): void {
     if (this.#connections.delete(held)) this.#serveWaiters()
   }
