--- a/packages/coordination/src/budget/token-exchange.ts
+++ b/packages/coordination/src/budget/token-exchange.ts
@@ -21,8 +21,8 @@
 const MINIMUM_DEMAND = 1
 /** Smaller amounts are not worth a message. */
 const MINIMUM_AMOUNT = 0.05
-/** Part of a ceiling that must have gathered for a deposit: in a large fleet each host accrues little of each rate. */
-const DEPOSIT_PART = 0.4
+/** Tokens that must have gathered for a deposit: in a large fleet each host accrues little of each rate. */
+const LEAST_DEPOSIT = 0.4
 /** After its start a host deposits small amounts too: when all hosts start at once, the home has nothing to give. */
 const START_MS = 3000
 
@@ -101,7 +101,7 @@
       if (holding === undefined || !Number.isFinite(ratePerSecond)) continue
       const wanted = computeWanted(holding, now)
       if (wanted - holding.tokens > MINIMUM_AMOUNT) order.wants[name] = wanted - holding.tokens
-      else if (withDeposits && holding.tokens - wanted > this.#computeLeastDeposit(holding, name, now)) {
+      else if (withDeposits && holding.tokens - wanted > (now - this.#startedAt < START_MS ? MINIMUM_AMOUNT : LEAST_DEPOSIT)) {
         order.deposits[name] = holding.tokens - wanted
         holding.tokens = wanted
       }
@@ -116,15 +116,6 @@
     }
   }
 
-  #computeLeastDeposit (holding: Holding, organisation: string, now: number): number {
-    return now - this.#startedAt < START_MS ? MINIMUM_AMOUNT : DEPOSIT_PART * this.#computeCeiling(holding, organisation, now)
-  }
-
-  /** Tokens up to which a host accrues. */
-  #computeCeiling (holding: Holding, organisation: string, now: number): number {
-    return Math.max(1, (this.#limits.get(organisation)?.burst ?? 0) * LOCAL_BURST_PART / this.#hosts, computeWanted(holding, now))
-  }
-
   #spend (holding: Holding): boolean {
     if (holding.tokens + Math.min(1, this.#overdraft / this.#hosts) < 1) return false
     holding.tokens--
@@ -137,7 +128,7 @@
     const holding = this.#holdings.get(organisation) ?? { tokens: 0, filledAt: this.#startedAt, demand: 0, demandAt: now }
     this.#holdings.set(organisation, holding)
     const accrued = !this.#isAccruing ? 0 : limit.ratePerSecond / this.#hosts * Math.max(0, now - holding.filledAt) / 1000
-    const ceiling = this.#computeCeiling(holding, organisation, now)
+    const ceiling = Math.max(1, limit.burst * LOCAL_BURST_PART / this.#hosts, computeWanted(holding, now))
     holding.filledAt = now
     // Granted tokens above the ceiling stay until the next exchange; only what accrues is limited.
     if (holding.tokens < ceiling) holding.tokens = Math.min(holding.tokens + accrued, ceiling)
--- a/packages/host/src/budget/budget-task.ts
+++ b/packages/host/src/budget/budget-task.ts
@@ -47,6 +47,7 @@
   #depositedAt = -Infinity
   #timer: NodeJS.Timeout | undefined
   #isClosed = false
+  #isLeaving = false
 
   private constructor (options: CreateOptions) {
     this.#options = options
@@ -105,6 +106,7 @@
 
   /** This host leaves and is no longer counted by the others. */
   stopAccruing (): void {
+    this.#isLeaving = true
     this.#exchange.stopAccruing(this.#options.clock.readTime())
   }
 
@@ -131,10 +133,20 @@
     const isDepositDue = now - this.#depositedAt >= DEPOSIT_EVERY_MS
     if (isDepositDue) this.#depositedAt = now
     const order = this.#exchange.takeOrder(now, isDepositDue)
+    if (this.#isLeaving) this.#handOverPool(order)
     for (const [home, part] of this.#splitByHome(order)) void this.#exchangeWith(home, part)
     this.#serveWaiters()
     clearTimeout(this.#timer)
-    this.#timer = setTimeout(() => { this.#tick() }, this.#waiters.length > 0 ? EXCHANGE_SOON_MS : EXCHANGE_EVERY_MS)
+    this.#timer = setTimeout(() => { this.#tick() }, this.#waiters.length > 0 ? EXCHANGE_SOON_MS : Object.keys(order.wants).length > 0 ? EXCHANGE_EVERY_MS : DEPOSIT_EVERY_MS)
+  }
+
+  /** The other hosts choose a home without this host, which must then find there what they deposited here. */
+  #handOverPool ({ deposits }: ExchangeOrder): void {
+    if (this.#hosts.length === 1) return
+    for (const [name, { burst }] of this.#organisations) {
+      const tokens = Number.isFinite(burst) ? this.#pool.take(name, burst) : 0
+      if (tokens > 0) deposits[name] = (deposits[name] ?? 0) + tokens
+    }
   }
 
   #serveWaiters (): void {
@@ -187,7 +199,8 @@
 
   #listHomes (): HostRecord[] {
     const { self, links } = this.#options
-    const usable = this.#hosts.filter((record) => record.host === self || links.find(record).readDownMs() === 0)
+    const isUsable = (record: HostRecord): boolean => record.host === self ? !this.#isLeaving || this.#hosts.length === 1 : links.find(record).readDownMs() === 0
+    const usable = this.#hosts.filter(isUsable)
     const order = computeRendezvousOrder('budget homes', usable.map(({ host }) => host))
     const chosen = order.slice(0, Math.max(1, Math.ceil(this.#hosts.length / HOSTS_PER_HOME)))
     return chosen.flatMap((host) => usable.find((record) => record.host === host) ?? [])
--- a/packages/host/src/failover/failover-task.ts
+++ b/packages/host/src/failover/failover-task.ts
@@ -28,6 +28,8 @@
 }
 
 const TICK_MS = 200
+/** Most hosts of a large fleet are neither responsible for a group nor next in its order; they look this often whether they are. */
+const BYSTANDER_TICK_MS = 1000
 /** Hosts in the order of a primary's owners that are ready to take its group over. */
 const STAND_INS = 2
 /** A host that stands in asks so often whether the owners before it answer; often enough to keep their links watched. */
@@ -47,7 +49,10 @@
   readonly #running = new Set<string>()
   readonly #notBefore = new Map<string, number>()
   readonly #watchedAt = new Map<string, number>()
+  /** Whether this host is responsible for a group or among the next in its order. */
+  readonly #standsIn = new Map<string, boolean>()
   #timer: NodeJS.Timeout | undefined
+  #isClosed = false
 
   private constructor (options: CreateOptions) {
     this.#options = options
@@ -59,20 +64,24 @@
   }
 
   start (): void {
-    this.#timer = setInterval(() => { this.#tick() }, TICK_MS)
+    this.#tick()
   }
 
   close (): void {
-    clearInterval(this.#timer)
+    this.#isClosed = true
+    clearTimeout(this.#timer)
   }
 
   #tick (): void {
+    if (this.#isClosed) return
     const { findCatalogue, clock } = this.#options
-    for (const group of findCatalogue()?.groups.keys() ?? []) {
+    const groups = [...findCatalogue()?.groups.keys() ?? []]
+    for (const group of groups) {
       if (this.#running.has(group) || (this.#notBefore.get(group) ?? -Infinity) > clock.readTime()) continue
       this.#running.add(group)
       void this.#checkGroup(group).finally(() => { this.#running.delete(group) })
     }
+    this.#timer = setTimeout(() => { this.#tick() }, groups.length > 0 && !groups.some((group) => this.#standsIn.get(group) !== false) ? BYSTANDER_TICK_MS : TICK_MS)
   }
 
   async #checkGroup (group: string): Promise<void> {
@@ -110,6 +119,7 @@
     this.#watchedAt.set(group, now)
     const answering = order.filter((host) => host.host === self.host || links.find(host).readDownMs() === 0)
     const rank = answering.findIndex(({ host }) => host === self.host)
+    this.#standsIn.set(group, rank >= 0 && rank <= STAND_INS)
     if (rank > 0 && rank <= STAND_INS) for (const owner of answering.slice(0, rank)) links.find(owner).watch()
   }
 
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -31,8 +31,6 @@
  */
 const WATCHES_IN_PROOF = 2
 const RELAYED_PROOF_MS = 700
-/** A host that starts does not know the relays yet; its first list is proof enough until it does. */
-const RELAYS_KNOWN_AFTER_MS = 1500
 /** A large configuration for every host takes a relay's link some seconds; a relay that falls silent is found by its pings. */
 const FETCH_TIMEOUT_MS = 4000
 
@@ -44,7 +42,6 @@
   readonly #options: CreateOptions
   readonly #copy = RelayedObjects.create()
   #isListDue = true
-  readonly #startedAt: number
   #failures = 0
   #isClosed = false
   #isFetching = false
@@ -53,7 +50,6 @@
 
   private constructor (options: CreateOptions) {
     this.#options = options
-    this.#startedAt = options.clock.readTime()
   }
 
   static create (options: CreateOptions): ObjectWatcher {
@@ -114,7 +110,6 @@
 
   #isStoreWanted (): boolean {
     const { relays, waitMs, clock } = this.#options
-    if (!this.#isListDue && clock.readTime() - this.#startedAt < RELAYS_KNOWN_AFTER_MS) return false
     return this.#isListDue || relays.isSelf || this.#copy.readProofAge(clock.readTime()) > WATCHES_IN_PROOF * waitMs + RELAYED_PROOF_MS
   }
 
