--- a/packages/host/test/peer-link.test.ts
+++ b/packages/host/test/peer-link.test.ts
@@ -8,6 +8,7 @@
 import { PeerServer } from '@tanagerusher/transport/peer/peer-server'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
 import { PeerLink } from '../src/peer/peer-link.js'
+import { pause } from '../src/program/pause.js'
 
 /** Above the link's own time limit for a ping. */
 const LATE_MS = 900
@@ -18,10 +19,6 @@
   return { host, incarnation: host, dataCentre: 'a', region: 'r', role: 'host', protocolVersions: [2] }
 }
 
-async function pause (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 function createLink (port: number, logger: ReturnType<typeof createLogger>): PeerLink {
   return PeerLink.create({
     record: { host: 'h2', incarnation: 'h2', address: '127.0.0.1', port, dataCentre: 'a', region: 'r' },
