--- a/packages/coordination/src/budget/token-exchange.ts
+++ b/packages/coordination/src/budget/token-exchange.ts
@@ -21,7 +21,7 @@
 const MINIMUM_DEMAND = 1
 /** Smaller amounts are not worth a message. */
 const MINIMUM_AMOUNT = 0.05
-/** Tokens that must have gathered for a deposit: in a large fleet each host accrues little of each rate. */
+/** Tokens that must have gathered for a deposit where a host's part of the burst is below one token, as in a large fleet. */
 const LEAST_DEPOSIT = 0.4
 /** After its start a host deposits small amounts too: when all hosts start at once, the home has nothing to give. */
 const START_MS = 3000
@@ -96,12 +96,12 @@
   /** What to send to the budget homes now; deposits are taken out of the holdings. An order of nothing need not be sent. */
   takeOrder (now: number, withDeposits: boolean): ExchangeOrder {
     const order: ExchangeOrder = { deposits: {}, wants: {} }
-    for (const [name, { ratePerSecond }] of this.#limits) {
+    for (const [name, { ratePerSecond, burst }] of this.#limits) {
       const holding = this.#fill(name, now)
       if (holding === undefined || !Number.isFinite(ratePerSecond)) continue
       const wanted = computeWanted(holding, now)
       if (wanted - holding.tokens > MINIMUM_AMOUNT) order.wants[name] = wanted - holding.tokens
-      else if (withDeposits && holding.tokens - wanted > (now - this.#startedAt < START_MS ? MINIMUM_AMOUNT : LEAST_DEPOSIT)) {
+      else if (withDeposits && holding.tokens - wanted > (now - this.#startedAt < START_MS || burst * LOCAL_BURST_PART >= this.#hosts ? MINIMUM_AMOUNT : LEAST_DEPOSIT)) {
         order.deposits[name] = holding.tokens - wanted
         holding.tokens = wanted
       }
