--- a/packages/host/src/peer/peer-link.ts
+++ b/packages/host/src/peer/peer-link.ts
@@ -26,7 +26,7 @@
 
 /** Links whose loss or news decides something at once: those to relays and to owners that this host stands in for. */
 const WATCHED_PING_MS = 500
-/** Other links prove themselves by the answers to calls; pings that nobody needs are the largest cost of a large fleet. */
+/** Other links prove themselves by the answers to calls; with a ping to every owner the pings grow with hosts times owners. */
 const UNWATCHED_PING_MS = 3000
 /** A link counts as watched for so long after it was last asked for as such; asked for every 500 ms at most. */
 const WATCHED_FOR_MS = 1500
