Give hosts a right to use a primary that runs out, and let promoters wait for it

Cause: where a promotion does not stop the old primary and nobody compares fencing tokens, a plain BEGIN proves nothing. A host without the news went on at the old primary: its writes were acknowledged and rolled back (ONE), its reads lacked commits (STALE).

Change: `failover/expiring-rights` lets a host send primary work only while it can prove that no newer claim of the group exists, for 0.6 of the time in which a withdrawn key may work, counted from before the question; checked again at the moment of sending. Claims name the database that leads and a successor that may have been called. Records of hosts and claims share a kind of the store, so that one proof covers both; a leaving host marks its record and removes it at its end. A commit whose answer comes after the right waits for a proof. Where the platform checks tokens (`promotionStopsPrimary`), nobody is waited for.

--- a/packages/coordination/src/failover/claim-queue.ts
+++ b/packages/coordination/src/failover/claim-queue.ts
@@ -22,7 +22,7 @@
   }
 
   mayClaim (group: string, claim: PromotionClaim | undefined, revision: number, now: number): boolean {
-    if (claim === undefined || claim.isEnded || claim.incarnation === this.#incarnation) return true
+    if (claim === undefined || claim.phase === 'ended' || claim.incarnation === this.#incarnation) return true
     const seen = this.#seen.get(group)
     if (seen?.revision !== revision) {
       this.#seen.set(group, { revision, at: now })
--- a/packages/coordination/src/failover/promotion-claim.ts
+++ b/packages/coordination/src/failover/promotion-claim.ts
@@ -4,8 +4,18 @@
 export const promotionClaim = z.looseObject({
   host: z.string(),
   incarnation: z.string(),
-  /** The promotion has ended, or was given up. */
-  isEnded: z.boolean()
+  /** Rises with every write of the holder, so that a write without an answer is recognised when it was carried out. */
+  sequence: z.number().int(),
+  /**
+   * `claimed`: the right to use the primary is withdrawn from all hosts. `called`: the promotion endpoint may have been called
+   * for `successor`, also later than now. `ended`: `leader` leads.
+   */
+  phase: z.enum(['claimed', 'called', 'ended']),
+  /** Database that leads after the end, until then the one before; absent: the one that the databases themselves name. */
+  leader: z.string().optional(),
+  /** Term of `leader` after a promotion. */
+  term: z.number().int().optional(),
+  successor: z.string().optional()
 })
 
 export type PromotionClaim = z.infer<typeof promotionClaim>
--- /dev/null
+++ b/packages/coordination/src/membership/fleet-objects.ts
@@ -0,0 +1,15 @@
+const HOST_PREFIX = 'host.'
+const GROUP_PREFIX = 'group.'
+
+/**
+ * Kind of the fleet's own objects in the store and their names. Records of hosts and claims of groups share a kind, so that one
+ * proof covers both: who may use a primary, and who must be asked before it is replaced.
+ */
+export const fleetObjects = {
+  kind: 'tanagerusher-fleet',
+
+  formatHostName: (host: string): string => HOST_PREFIX + host,
+  formatGroupName: (group: string): string => GROUP_PREFIX + group,
+  readHost: (name: string): string | undefined => name.startsWith(HOST_PREFIX) ? name.slice(HOST_PREFIX.length) : undefined,
+  readGroup: (name: string): string | undefined => name.startsWith(GROUP_PREFIX) ? name.slice(GROUP_PREFIX.length) : undefined
+} as const
--- a/packages/coordination/test/failover/promotion-decisions.test.ts
+++ b/packages/coordination/test/failover/promotion-decisions.test.ts
@@ -3,6 +3,7 @@
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import { chooseSuccessor } from '../../src/failover/choose-successor.js'
 import { ClaimQueue } from '../../src/failover/claim-queue.js'
+import type { PromotionClaim } from '../../src/failover/promotion-claim.js'
 import { LeaderView } from '../../src/failover/leader-view.js'
 
 function buildRecord (id: string, claimsPrimary: boolean, revision = 1): UpstreamRecord {
@@ -27,16 +28,16 @@
 
 test("another host's claim is left alone until it ended or was untouched for 3 s, so that holders do not take turns", () => {
   const queue = ClaimQueue.create('me')
-  const claim = { host: 'h2', incarnation: 'other', isEnded: false }
+  const claim: PromotionClaim = { host: 'h2', incarnation: 'other', sequence: 1, phase: 'claimed' }
   assert.equal(queue.mayClaim('g', claim, 5, 0), false)
   assert.equal(queue.mayClaim('g', claim, 5, 2900), false)
   assert.equal(queue.mayClaim('g', claim, 6, 3100), false)
   assert.equal(queue.mayClaim('g', claim, 6, 6100), true)
-  assert.equal(queue.mayClaim('g', { ...claim, isEnded: true }, 7, 6200), true)
+  assert.equal(queue.mayClaim('g', { ...claim, phase: 'ended' }, 7, 6200), true)
 })
 
 test('a proven leader goes before what an old primary still says of itself', () => {
-  const view = LeaderView.create()
+  const view = LeaderView.create({ isAppointmentBinding: false })
   const records = [buildRecord('old', true, 9), buildRecord('new', false, 3)]
   assert.equal(view.findLeader('g', records)?.id, 'old')
   view.recordProof('g', 'new', 2)
@@ -46,8 +47,20 @@
 })
 
 test('a database that answered that it does not lead is not asked again until its record changes', () => {
-  const view = LeaderView.create()
+  const view = LeaderView.create({ isAppointmentBinding: false })
   view.recordRefusal(buildRecord('old', true, 9))
   assert.equal(view.findLeader('g', [buildRecord('old', true, 9)]), undefined)
   assert.equal(view.findLeader('g', [buildRecord('old', true, 12)])?.id, 'old')
 })
+
+// Guards against a failover that never comes: the old primary goes on, still claims to lead, and the new one is gone.
+test('where an old primary goes on, its claim to lead says nothing after a promotion', () => {
+  const view = LeaderView.create({ isAppointmentBinding: true })
+  const old = buildRecord('old', true, 9)
+  assert.equal(view.findLeader('g', [old])?.id, 'old')
+  view.recordAppointment('g', 'new', 2)
+  assert.equal(view.findLeader('g', [old, buildRecord('new', false, 3)])?.id, 'new')
+  assert.equal(view.findLeader('g', [old]), undefined)
+  view.recordRefusal(buildRecord('new', false, 3))
+  assert.equal(view.findLeader('g', [old, buildRecord('new', false, 3)]), undefined)
+})
--- a/packages/host/src/failover/failover-task.ts
+++ b/packages/host/src/failover/failover-task.ts
@@ -1,9 +1,10 @@
 import { ClaimQueue } from '@tanagerusher/coordination/failover/claim-queue'
+import type { PrimaryRights } from '@tanagerusher/coordination/failover/primary-rights'
+import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import type { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
 import { computeRendezvousOrder } from '@tanagerusher/coordination/membership/compute-rendezvous-order'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { PlatformAdapter } from '@tanagerusher/coordination/common/platform-adapter'
-import { leaderChanged } from '@tanagerusher/protocol/peer/leader-changed'
 import { upstreamProbe } from '@tanagerusher/protocol/peer/upstream-probe'
 import type { Catalogue } from '@tanagerusher/state/catalogue/catalogue'
 import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
@@ -12,7 +13,9 @@
 import type { PeerLinks } from '../peer/peer-links.js'
 import type { OwnerRegistry } from '../upstream/owner-registry.js'
 import type { OwnerRouter } from '../upstream/owner-router.js'
+import { ClaimHolder } from './claim-holder.js'
 import { PromotionRun } from './promotion-run.js'
+import { ReleaseCollector } from './release-collector.js'
 
 interface CreateOptions {
   self: HostRecord
@@ -23,6 +26,10 @@
   router: OwnerRouter
   listRecords: (group: string) => UpstreamRecord[]
   findCatalogue: () => Catalogue | undefined
+  rights: PrimaryRights
+  /** Takes a claim, and gives this host's right up while it has not ended. */
+  handleClaim: (group: string, claim: PromotionClaim, revision: number, quiesceMs: number) => Promise<void>
+  checkClocks: () => boolean
   clock: Clock
   logger: Logger
 }
@@ -88,7 +95,9 @@
     const { leaders, listRecords, registry, clock } = this.#options
     const records = listRecords(group)
     const leader = leaders.findLeader(group, records)
-    if (records.length === 0 || !this.#isResponsible(group, leader)) return
+    if (records.length === 0) return
+    if (await this.#resumePromotion(group, records, leader)) return
+    if (!this.#isResponsible(group, leader)) return
     const successors = records.filter(({ id, isLeaving }) => id !== leader?.id && !isLeaving)
     if (leader === undefined) return await this.#promote(group, undefined, successors, false)
     if (leader.isLeaving && successors.length > 0) return await this.#promote(group, leader, successors, true)
@@ -103,6 +112,18 @@
     await this.#promote(group, leader, successors, false)
   }
 
+  /** A promotion that its holder has left unfinished withholds the primary from all hosts. True when one is under way. */
+  async #resumePromotion (group: string, records: readonly UpstreamRecord[], leader: UpstreamRecord | undefined): Promise<boolean> {
+    const { rights, clock, logger } = this.#options
+    const known = rights.findClaim(group)
+    if (rights.limitMs === undefined || known === undefined || known.claim.phase === 'ended') return false
+    if (this.#claims.mayClaim(group, known.claim, known.revision, clock.readTime()) && this.#isResponsible(group, undefined)) {
+      logger.info('unfinished promotion is taken over', { group, holder: known.claim.host, phase: known.claim.phase, successor: known.claim.successor })
+      await this.#promote(group, leader, records.filter(({ id, isLeaving }) => id !== leader?.id && !isLeaving), false)
+    }
+    return true
+  }
+
   /** The first host in the order of owners that answers; without a primary, the first in an order of the group. */
   #isResponsible (group: string, leader: UpstreamRecord | undefined): boolean {
     const { router, links, self } = this.#options
@@ -151,19 +172,20 @@
   }
 
   async #promote (group: string, leader: UpstreamRecord | undefined, candidates: readonly UpstreamRecord[], isPlanned: boolean): Promise<void> {
-    const { leaders, links, registry, findCatalogue, self, adapter, clock, logger } = this.#options
+    const { leaders, links, registry, findCatalogue, self, adapter, rights, handleClaim, checkClocks, clock, logger } = this.#options
     if (candidates.length === 0) return
     const syncReplicas = findCatalogue()?.groups.get(group)?.syncReplicas ?? 0
-    const outcome = await PromotionRun.create({ group, leader, isPlanned, candidates, syncReplicas, self, adapter, registry, claims: this.#claims, clock, logger }).run()
+    const holder = ClaimHolder.create({ group, self, store: adapter.store, claims: this.#claims, clock, logger })
+    const releases = ReleaseCollector.create({ group, self, links, limitMs: rights.limitMs, release: handleClaim, clock, logger })
+    const outcome = await PromotionRun.create({ group, leader, isPlanned, candidates, syncReplicas, self, adapter, registry, holder, releases, checkClocks, clock, logger }).run()
+    if (holder.claim !== undefined) await handleClaim(group, holder.claim, holder.revision, 0)
     if (outcome.type === 'given-up') {
       logger.info('promotion given up', { group, reason: outcome.reason })
       this.#postpone(group)
       return
     }
-    const term = leaders.findTerm(group) + 1
-    if (leader !== undefined) leaders.recordRefusal(leader)
-    leaders.recordProof(group, outcome.id, term)
-    for (const link of links.all) if (link.isUp) link.connection?.notify(leaderChanged, { group, databaseId: outcome.id, term })
+    if (leader !== undefined && leader.id !== outcome.id) leaders.recordRefusal(leader)
+    leaders.recordAppointment(group, outcome.id, outcome.term)
   }
 
   #postpone (group: string): void {
--- a/packages/host/src/peer/register-peer-methods.ts
+++ b/packages/host/src/peer/register-peer-methods.ts
@@ -1,7 +1,8 @@
 import { budgetExchange } from '@tanagerusher/protocol/peer/budget-exchange'
 import { hostPing } from '@tanagerusher/protocol/peer/host-ping'
-import { leaderChanged } from '@tanagerusher/protocol/peer/leader-changed'
 import { objectsFetch } from '@tanagerusher/protocol/peer/objects-fetch'
+import { promotionNotice } from '@tanagerusher/protocol/peer/promotion-notice'
+import { promotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import { leaderPosition } from '@tanagerusher/protocol/peer/leader-position'
 import { upstreamExecute, type UpstreamExecuteResult } from '@tanagerusher/protocol/peer/upstream-execute'
 import { upstreamProbe } from '@tanagerusher/protocol/peer/upstream-probe'
@@ -11,7 +12,7 @@
 
 /** Answers the calls of one other host, and ends its transactions when its connection ends. */
 export function registerPeerMethods (connection: PeerConnection, parts: HostParts): void {
-  const { clock, budget, registry, leaders, upstreams } = parts
+  const { clock, budget, registry, upstreams } = parts
   const findRecord = (id: string): UpstreamRecord | undefined => upstreams.directory.find(id, clock.readTime())
   connection.addMethod(hostPing, async () => ({
     isLeaving: parts.isLeaving(), copies: Object.fromEntries(parts.watchers.map((watcher) => [watcher.kind, watcher.describe()]))
@@ -34,7 +35,10 @@
     const record = findRecord(databaseId)
     return { isReachable: record !== undefined && await registry.find(record).probe() }
   })
-  connection.addNotification(leaderChanged, ({ group, databaseId, term }) => { leaders.recordProof(group, databaseId, term) })
+  connection.addMethod(promotionNotice, async ({ group, claim, revision, quiesceMs }) => {
+    await parts.handleClaim(group, promotionClaim.parse(claim), revision, quiesceMs)
+    return { incarnation: parts.incarnation }
+  })
   void Promise.all([connection.remoteHello, connection.closed]).then(
     ([hello]) => { registry.abandonSessions(hello.incarnation) },
     () => {} // a connection without a hello has started nothing
--- a/packages/host/src/program/host-clock.ts
+++ b/packages/host/src/program/host-clock.ts
@@ -18,7 +18,10 @@
     return performance.now()
   }
 
-  check (): void {
-    if (this.#detector.check(performance.now(), Date.now())) this.#handleSuspended()
+  /** True when the clocks moved apart since the last check. */
+  check (): boolean {
+    const hasMoved = this.#detector.check(performance.now(), Date.now())
+    if (hasMoved) this.#handleSuspended()
+    return hasMoved
   }
 }
--- a/packages/host/src/program/host-parts.ts
+++ b/packages/host/src/program/host-parts.ts
@@ -4,7 +4,7 @@
 import type { OwnerRegistry } from '../upstream/owner-registry.js'
 import type { ObjectWatcher } from '../store/object-watcher.js'
 import type { UpstreamsTask } from '../store/upstreams-task.js'
-import type { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
+import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 
 /** What calls of other hosts reach. */
@@ -14,7 +14,9 @@
   catalogue: CatalogueTask
   registry: OwnerRegistry
   upstreams: UpstreamsTask
-  leaders: LeaderView
+  incarnation: string
+  /** Takes a claim of a group, and gives this host's right to its primary up while it has not ended. */
+  handleClaim: (group: string, claim: PromotionClaim, revision: number, quiesceMs: number) => Promise<void>
   findFreshness: (group: string) => GroupFreshness
   /** All kinds of objects that hosts take from each other. */
   watchers: readonly ObjectWatcher[]
--- a/packages/host/src/program/host-shutdown.ts
+++ b/packages/host/src/program/host-shutdown.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { Logger } from 'winston'
 import type { CallerServer } from '../caller/caller-server.js'
-import type { HostsTask } from '../store/hosts-task.js'
+import { pause } from './pause.js'
+import type { FleetTask } from '../store/fleet-task.js'
 import type { OwnerRegistry } from '../upstream/owner-registry.js'
 
 interface CreateOptions {
@@ -9,7 +10,9 @@
   graceMs: number
   callers: CallerServer
   registry: OwnerRegistry
-  hosts: HostsTask
+  fleet: FleetTask
+  /** Gives up the right to use any primary, before the record that promoters go by is removed. */
+  releaseRights: () => void
   clock: Clock
   logger: Logger
 }
@@ -23,6 +26,8 @@
 /** Time for an answer to reach its caller. */
 const ANSWER_MARGIN_MS = 100
 const STEP_MS = 50
+/** One call of the store; a record that stays costs the next promotion the limit of the rights. */
+const REMOVE_MS = 150
 /** Other hosts need this long to choose other owners after the record is gone. */
 const HAND_OVER_MS = 1500
 
@@ -49,12 +54,12 @@
   get answerDeadline (): number | undefined { return this.#answerDeadline }
 
   async run (): Promise<void> {
-    const { callers, hosts, clock, logger } = this.#options
+    const { callers, fleet, releaseRights, clock, logger } = this.#options
     const graceMs = this.#graceMs
     const startedAt = clock.readTime()
     this.#answerDeadline = startedAt + graceMs - MARGIN_MS - ANSWER_MARGIN_MS
     logger.info('stopping', { sessions: callers.size, transactions: callers.openTransactions })
-    void hosts.leave()
+    void fleet.leave()
     while (clock.readTime() - startedAt < graceMs - MARGIN_MS) {
       const elapsedMs = clock.readTime() - startedAt
       if (elapsedMs >= Math.min(BALANCER_MS, graceMs * TRANSACTION_PART)) callers.closeIdle()
@@ -64,6 +69,8 @@
       if (elapsedMs >= BALANCER_MS + HAND_OVER_MS && callers.size === 0 && !this.#isOwnerBusy()) break
       await new Promise((resolve) => setTimeout(resolve, STEP_MS))
     }
+    releaseRights()
+    await Promise.race([fleet.remove(), pause(REMOVE_MS)])
     logger.info('stop ends', { sessions: callers.size, transactions: callers.openTransactions, tookMs: Math.round(clock.readTime() - startedAt) })
   }
 
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -1,5 +1,9 @@
 import { randomUUID } from 'node:crypto'
 import type { PlatformAdapter } from '@tanagerusher/coordination/common/platform-adapter'
+import { DatabaseEnforcedRights } from '@tanagerusher/coordination/failover/database-enforced-rights'
+import { ExpiringRights } from '@tanagerusher/coordination/failover/expiring-rights'
+import type { PrimaryRights } from '@tanagerusher/coordination/failover/primary-rights'
+import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
 import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
 import { createLogger } from '@tanagerusher/runtime/log/create-logger'
@@ -14,7 +18,7 @@
 import { registerPeerMethods } from '../peer/register-peer-methods.js'
 import type { HostSettings } from '../settings/host-settings.js'
 import { CatalogueTask } from '../store/catalogue-task.js'
-import { HostsTask } from '../store/hosts-task.js'
+import { FleetTask } from '../store/fleet-task.js'
 import { RelayChoice } from '../store/relay-choice.js'
 import { UpstreamsTask } from '../store/upstreams-task.js'
 import { GroupFreshness } from '../upstream/group-freshness.js'
@@ -50,9 +54,11 @@
     for (const watcher of parts.watchers) watcher.invalidateProof()
     catalogue.invalidateProof()
     for (const group of freshness.values()) group.clear()
+    rights.invalidateProof()
   })
+  const rights: PrimaryRights = settings.promotionStopsPrimary ? DatabaseEnforcedRights.create() : ExpiringRights.create({ limitMs: settings.keyFreshnessMs * RIGHT_PART })
   const metrics = HostMetrics.create()
-  const leaders = LeaderView.create()
+  const leaders = LeaderView.create({ isAppointmentBinding: rights.limitMs !== undefined })
   const links = PeerLinks.create({
     hello,
     clock,
@@ -75,6 +81,8 @@
     connector: adapter.connector,
     clock,
     logger,
+    rights,
+    checkClocks: () => { clock.check() },
     findLimit: (record) => router.findLimit(record, catalogue.replica.catalogue?.groups.get(record.group)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS),
     events: {
       handleLeaderProof: ({ group, id }, position, sentAt) => {
@@ -99,12 +107,25 @@
     handleApplied: (applied) => { budget.updateCatalogue(applied) }
   })
   const upstreams = UpstreamsTask.create({ store: adapter.store, kind: adapter.upstreamKind, decode: adapter.decodeUpstreamRecord, relays, clock, logger })
-  const hosts = HostsTask.create({
+  const handleClaim = async (group: string, claim: PromotionClaim, revision: number, quiesceMs: number): Promise<void> => {
+    if (rights.applyClaim(group, claim, revision)) logger.info('claim of a group', { group, revision, phase: claim.phase, holder: claim.host, leader: claim.leader, term: claim.term })
+    if (claim.phase !== 'ended') {
+      await registry.quiesce(group, quiesceMs)
+      rights.release(group, revision)
+    } else if (claim.leader !== undefined) leaders.recordAppointment(group, claim.leader, claim.term ?? 0)
+  }
+  const fleet = FleetTask.create({
     store: adapter.store,
     self,
     relays,
     clock,
     logger,
+    watchMs: rights.limitMs === undefined ? FLEET_WATCH_MS : RIGHTS_WATCH_MS,
+    handleClaim: (group, claim, revision) => {
+      if (claim.phase === 'ended') void handleClaim(group, claim, revision, 0)
+      else if (rights.applyClaim(group, claim, revision)) logger.info('claim of a group', { group, revision, phase: claim.phase, holder: claim.host })
+    },
+    handleConfirmed: (sentAt) => { if (!isReleased) rights.confirm(sentAt) },
     handleHosts: (records) => {
       router.updateHosts(records)
       relays.updateHosts(records)
@@ -112,11 +133,12 @@
     }
   })
   const failover = FailoverTask.create({
-    self, adapter, leaders, links, registry, router, listRecords, findCatalogue: () => catalogue.replica.catalogue, clock, logger
+    self, adapter, leaders, links, registry, router, listRecords, findCatalogue: () => catalogue.replica.catalogue, rights, handleClaim, checkClocks: () => clock.check(), clock, logger
   })
   let isLeaving = false
+  let isReleased = false
   const parts: HostParts = {
-    clock, budget, catalogue, registry, upstreams, leaders, findFreshness, watchers: [catalogue.watcher, upstreams.watcher, hosts.watcher], isLeaving: () => isLeaving
+    clock, budget, catalogue, registry, upstreams, incarnation, handleClaim, findFreshness, watchers: [catalogue.watcher, upstreams.watcher, fleet.watcher], isLeaving: () => isLeaving
   }
   const peers = await PeerServer.open({
     address: settings.address, port: self.port, hello, handleConnection: (connection) => { registerPeerMethods(connection, parts) }
@@ -144,7 +166,7 @@
   relays.start()
   void catalogue.start()
   void upstreams.start()
-  void hosts.start()
+  void fleet.start()
   budget.start()
   failover.start()
   const housekeeping = setInterval(() => {
@@ -158,7 +180,7 @@
     budget.close()
     catalogue.close()
     upstreams.close()
-    hosts.close()
+    fleet.close()
     relays.close()
     callers.close()
     registry.close()
@@ -169,7 +191,7 @@
     adapter.store.close()
     logger.info('stopped')
   }
-  const shutdown: HostShutdown = HostShutdown.create({ graceMs: settings.graceSeconds * 1000, callers, registry, hosts, clock, logger })
+  const shutdown: HostShutdown = HostShutdown.create({ graceMs: settings.graceSeconds * 1000, callers, registry, fleet, releaseRights: () => { isReleased = true; rights.invalidateProof() }, clock, logger })
   return {
     reload: (changed) => {
       const fields = Object.keys(changed).filter((field) => JSON.stringify(changed[field]) !== JSON.stringify(settings[field]))
@@ -189,5 +211,11 @@
 
 /** Settings that take effect without a new start. */
 const RELOADED_FIELDS = ['logLevel', 'graceSeconds']
+/** A request isn't owed where the store was out of reach for this part of the time in which a withdrawn key may work. */
+const RIGHT_PART = 0.6
+/** A proof is up to two watches and a ping old, which must leave a second of the rights' limit. */
+const RIGHTS_WATCH_MS = 800
+/** Hosts come and go seldom, and a host that is gone is found out by its link. */
+const FLEET_WATCH_MS = 5000
 /** A replica read waits this long for a first position before it goes to the primary. */
 const READ_POSITION_WAIT_MS = 150
--- a/packages/host/src/settings/host-settings.ts
+++ b/packages/host/src/settings/host-settings.ts
@@ -17,6 +17,7 @@
   graceSeconds: z.number().positive().default(6).describe('Time between the signal to stop and the end of the process'),
   keyFreshnessMs: z.number().positive().default(5000).describe('A withdrawn key stops working within this time'),
   rateSlack: z.number().nonnegative().default(0).describe('Requests of an organisation over its rate that are accepted in a window'),
+  promotionStopsPrimary: z.boolean().default(false).describe('The platform compares fencing tokens and a promotion stops the old primary at once; false: it may go on, and rights to use a primary run out'),
   linkMbps: z.number().positive().default(1000).describe('Bandwidth of the host\'s network link; hosts with more of it relay the store and own connections'),
   metricsPort: z.number().int().optional().describe('Port of /metrics; absent: not served'),
   logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info')
--- /dev/null
+++ b/packages/host/src/store/fleet-task.ts
@@ -0,0 +1,133 @@
+import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { ObjectStore } from '@tanagerusher/coordination/common/object-store'
+import type { StoreObject } from '@tanagerusher/coordination/common/store-object'
+import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
+import { fleetObjects } from '@tanagerusher/coordination/membership/fleet-objects'
+import { parseFleetObjects } from '@tanagerusher/coordination/membership/parse-fleet-objects'
+import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
+import type { Logger } from 'winston'
+import { pause } from '../program/pause.js'
+import { ObjectWatcher } from './object-watcher.js'
+import type { RelayChoice } from './relay-choice.js'
+
+interface CreateOptions {
+  store: ObjectStore
+  self: HostRecord
+  relays: RelayChoice
+  clock: Clock
+  logger: Logger
+  /** Longest wait of one watch in ms; rights to use a primary that run out need proofs well inside their limit. */
+  watchMs: number
+  /** Hosts that own databases and share rates. */
+  handleHosts: (hosts: readonly HostRecord[]) => void
+  handleClaim: (group: string, claim: PromotionClaim, revision: number) => void
+  /** All claims at `sentAt` are known here, and this host's record was in the store then. */
+  handleConfirmed: (sentAt: number) => void
+}
+
+const RETRY_MS = 300
+const REGISTER_TRIES = 100
+
+/**
+ * Writes this host's record at the start, marks it when the host leaves and removes it at the end. Keeps the records of all hosts
+ * and the claims of all groups.
+ */
+export class FleetTask {
+  readonly #options: CreateOptions
+  readonly watcher: ObjectWatcher
+  readonly #records = new Map<string, { record: HostRecord, revision: number }>()
+  /** When this host's record was known to be in the store. */
+  #registeredAt: number | undefined
+  #isLeaving = false
+
+  private constructor (options: CreateOptions) {
+    const { store, relays, clock, logger, self, watchMs } = options
+    this.#options = options
+    this.#records.set(self.host, { record: self, revision: 0 })
+    this.watcher = ObjectWatcher.create({
+      store,
+      kind: fleetObjects.kind,
+      waitMs: watchMs,
+      relays,
+      clock,
+      logger,
+      events: {
+        handleChanged: (changed, removed) => { this.#handleChanged(changed, removed) },
+        handleConfirmed: (sentAt) => { if (this.#registeredAt !== undefined && sentAt >= this.#registeredAt) options.handleConfirmed(sentAt) }
+      }
+    })
+  }
+
+  static create (options: CreateOptions): FleetTask {
+    return new FleetTask(options)
+  }
+
+  async start (): Promise<void> {
+    // A proof counts only after the record was written, so the first list comes after it; without a store neither helps.
+    await Promise.race([this.#register(), pause(RETRY_MS)])
+    await this.watcher.run()
+  }
+
+  /** Marks the record, so that other hosts choose other owners. */
+  async leave (): Promise<void> {
+    this.#isLeaving = true
+    const { store, self, logger } = this.#options
+    const answer = await store.replace(fleetObjects.kind, fleetObjects.formatHostName(self.host), { ...self, isLeaving: true })
+    if (answer.type === 'ok') this.#records.set(self.host, { record: self, revision: answer.value.revision })
+    logger.info('left the fleet', { outcome: answer.type })
+  }
+
+  /** Removes the record after the last statement. */
+  async remove (): Promise<void> {
+    const { store, self, logger } = this.#options
+    const revision = this.#records.get(self.host)?.revision
+    if (revision === undefined || revision === 0) return
+    const answer = await store.remove(fleetObjects.kind, fleetObjects.formatHostName(self.host), revision)
+    logger.info('record removed', { outcome: answer.type })
+  }
+
+  close (): void {
+    this.watcher.close()
+  }
+
+  async #register (): Promise<void> {
+    const { store, self, clock, logger } = this.#options
+    const name = fleetObjects.formatHostName(self.host)
+    for (let tries = 0; tries < REGISTER_TRIES && !this.#isLeaving; tries++) {
+      const created = await store.create(fleetObjects.kind, name, self)
+      const answer = created.type === 'conflict' ? await store.replace(fleetObjects.kind, name, self) : created
+      if (answer.type === 'ok') {
+        this.#records.set(self.host, { record: self, revision: answer.value.revision })
+        this.#registeredAt = clock.readTime()
+        logger.info('joined the fleet', { revision: answer.value.revision })
+        return
+      }
+      logger.warn('record was not written', { ...answer })
+      await pause(RETRY_MS)
+    }
+  }
+
+  #handleChanged (changed: readonly StoreObject[], removed: readonly string[]): void {
+    const { self, logger, handleHosts, handleClaim } = this.#options
+    for (const name of removed) {
+      const host = fleetObjects.readHost(name)
+      if (host === undefined) continue
+      if (host !== self.host) this.#records.delete(host)
+      else if (!this.#isLeaving) {
+        this.#registeredAt = undefined
+        void this.#register()
+      }
+    }
+    const { hosts, claims, unreadable } = parseFleetObjects(changed)
+    if (unreadable.length > 0) logger.warn('objects of the fleet cannot be read', { names: unreadable })
+    for (const { record, revision } of hosts) this.#take(record, revision)
+    for (const { group, claim, revision } of claims) handleClaim(group, claim, revision)
+    handleHosts([...this.#records.values()].map(({ record }) => record).filter(({ isLeaving }) => isLeaving !== true))
+  }
+
+  #take (record: HostRecord, revision: number): void {
+    const { self } = this.#options
+    if (record.host === self.host && record.incarnation !== self.incarnation) return
+    this.#records.set(record.host, { record: record.host === self.host ? self : record, revision })
+  }
+}
--- a/packages/host/src/upstream/database-owner.ts
+++ b/packages/host/src/upstream/database-owner.ts
@@ -1,6 +1,7 @@
 import type { OwnerEvents } from './owner-events.js'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { UpstreamConnector } from '@tanagerusher/coordination/common/upstream-connector'
+import type { PrimaryRights } from '@tanagerusher/coordination/failover/primary-rights'
 import { UpstreamHealth } from '@tanagerusher/coordination/health/upstream-health'
 import type { UpstreamExecuteParams, UpstreamExecuteResult } from '@tanagerusher/protocol/peer/upstream-execute'
 import type { StatementAnswer } from '@tanagerusher/state/upstream/statement-answer'
@@ -9,7 +10,9 @@
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import type { Logger } from 'winston'
 import { ConnectionSet } from './connection-set.js'
+import { DatabaseControl } from './database-control.js'
 import type { HeldConnection } from './held-connection.js'
+import { PrimaryGate } from './primary-gate.js'
 import { SlotGate } from './slot-gate.js'
 
 interface CreateOptions {
@@ -18,44 +21,46 @@
   clock: Clock
   logger: Logger
   events: OwnerEvents
+  rights: PrimaryRights
+  checkClocks: () => void
 }
 
-interface Transaction { held: HeldConnection, provesLeader: boolean, usedAt: number, isBusy: boolean }
+interface Transaction { held: HeldConnection, provesLeader: boolean, hasWritten: boolean, usedAt: number, isBusy: boolean }
+
+interface Sent { answers: StatementAnswer[], revision: number }
 
 type Operation<Type> = Extract<UpstreamExecuteParams['operation'], { type: Type }>
 
-/** Time for control statements, which take no slot. */
-const CONTROL_TIMEOUT_MS = 1000
-const PROBE_TIMEOUT_MS = 400
+/** Time for the end of a transaction, which takes no slot. */
+const ROLLBACK_TIMEOUT_MS = 1000
 /** A request holds its slot while it waits for a connection, so it waits for little more than the set-up of one. */
 const CONNECTION_WAIT_MS = 300
 /** Well above every limit for a transaction's rest. */
 const FORGOTTEN_AFTER_MS = 15_000
-const PROBE_ORGANISATION = '-'
 
 /** Work of one database on this host: slots, connections, pinned transactions, and what its answers say of it. */
 export class DatabaseOwner {
   #record: UpstreamRecord
   readonly #clock: Clock
-  readonly #logger: Logger
   readonly #events: OwnerEvents
   readonly #connections: ConnectionSet
   readonly #slots: SlotGate
+  readonly #primary: PrimaryGate
+  readonly #control: DatabaseControl
   readonly #health = UpstreamHealth.create()
   readonly #transactions = new Map<string, Transaction>()
-  #organisation = PROBE_ORGANISATION
-  #probe: Promise<boolean> | undefined
   #usedAt: number
   #writesPaused: Promise<void> | undefined
   #resumeWrites: (() => void) | undefined
 
-  private constructor ({ record, connector, clock, logger, events }: CreateOptions) {
+  private constructor ({ record, connector, clock, logger, events, rights, checkClocks }: CreateOptions) {
     this.#record = record
     this.#clock = clock
-    this.#logger = logger
     this.#events = events
     this.#connections = ConnectionSet.create({ record, connector, clock, logger, handleFree: () => { this.#slots.startWaiting() } })
     this.#slots = SlotGate.create({ slots: record.slots, clock, hasConnection: (organisation) => this.#connections.hasRoom(organisation) })
+    this.#primary = PrimaryGate.create({ rights, group: record.group, databaseId: record.id, clock, checkClocks })
+    this.#control = DatabaseControl.create({ record, connections: this.#connections, primary: this.#primary, health: this.#health, clock, logger, events })
     this.#usedAt = clock.readTime()
   }
 
@@ -85,19 +90,28 @@
 
   async execute (params: UpstreamExecuteParams): Promise<UpstreamExecuteResult> {
     this.#usedAt = this.#clock.readTime()
-    this.#organisation = params.organisation
+    this.#control.organisation = params.organisation
     const { operation } = params
     if (operation.type === 'rollback') return this.#rollback(params.session)
-    if (operation.type === 'begin') return await this.#begin(params, operation)
     const deadline = this.#usedAt + params.timeLeftMs
-    if (isWriting(operation)) await this.#waitForWrites(params.timeLeftMs)
+    if (this.#needsPrimary(params)) {
+      const check = await this.#primary.wait(isJoining(operation), params.timeLeftMs)
+      if (check.type === 'refused') return this.#refuseRight(params, check.reason)
+    }
+    if (isWriting(operation)) await this.#waitForWrites(deadline - this.#clock.readTime())
     const timeLeftMs = deadline - this.#clock.readTime()
     if (timeLeftMs <= 0) return this.#refuse('busy', 'the primary hands over')
+    if (operation.type === 'begin') return await this.#begin({ ...params, timeLeftMs }, operation)
     if (operation.type === 'commit') return await this.#commit({ ...params, timeLeftMs }, operation)
     if (operation.transaction === 'none') return await this.#runSingle({ ...params, timeLeftMs }, operation)
     return operation.transaction === 'joins' ? await this.#runInTransaction({ ...params, timeLeftMs }, operation) : await this.#runFirst({ ...params, timeLeftMs }, operation, deadline)
   }
 
+  /** Waits until nothing that needs the primary is under way or open; no longer than `timeLeftMs`. */
+  async quiesce (timeLeftMs: number): Promise<void> {
+    await this.#primary.quiesce(() => ![...this.#transactions.values()].some(({ provesLeader }) => provesLeader), timeLeftMs)
+  }
+
   /** Ends the transactions of sessions that `isGone` names. */
   abandonSessions (isGone: (session: string) => boolean): void {
     for (const [session, transaction] of this.#transactions) {
@@ -118,19 +132,12 @@
 
   /** Asks the database whether it leads, without taking a slot. True when it answered at all. */
   async probe (): Promise<boolean> {
-    this.#probe ??= this.#runProbe().finally(() => { this.#probe = undefined })
-    return await this.#probe
+    return await this.#control.probe()
   }
 
   /** Runs one command of the proxy's own on a connection of its own. */
   async runControl (command: UpstreamCommand): Promise<StatementAnswer> {
-    const held = await this.#acquireForProbe()
-    if (held === undefined) return { type: 'lost', reason: 'no connection' }
-    const [answer] = await Promise.all(held.connection.send([command], CONTROL_TIMEOUT_MS)) as [StatementAnswer]
-    this.#recordHealth(answer)
-    if (answer.type === 'lost') this.#connections.discard(held)
-    else this.#connections.release(held)
-    return answer
+    return await this.#control.run(command)
   }
 
   close (): void {
@@ -144,32 +151,6 @@
     await Promise.race([this.#writesPaused, new Promise((resolve) => setTimeout(resolve, timeLeftMs))])
   }
 
-  async #runProbe (): Promise<boolean> {
-    const held = await this.#acquireForProbe()
-    if (held === undefined) return false
-    const sentAt = this.#clock.readTime()
-    const [begin] = await Promise.all(held.connection.send([{ type: 'begin', isReadOnly: false, after: undefined }, { type: 'rollback' }], PROBE_TIMEOUT_MS)) as [StatementAnswer, StatementAnswer]
-    this.#recordHealth(begin)
-    this.#recordLeadership(begin, sentAt)
-    if (begin.type !== 'lost') {
-      this.#connections.release(held)
-      return true
-    }
-    // Where one connection has fallen silent the others may have too; each would cost a request its whole time limit.
-    this.#connections.discard(held)
-    this.#connections.closeIdleUnusedSince(sentAt)
-    return false
-  }
-
-  async #acquireForProbe (): Promise<HeldConnection | undefined> {
-    const idle = this.#connections.acquireAnyIdle()
-    if (idle !== undefined) return idle
-    const acquisition = await this.#connections.acquire(this.#organisation, [], PROBE_TIMEOUT_MS)
-    if (acquisition.type === 'acquired') return acquisition.held
-    if (acquisition.type === 'unreachable') this.#health.recordFailure(this.#clock.readTime())
-    return undefined
-  }
-
   async #runSingle (params: UpstreamExecuteParams, operation: Operation<'run'>): Promise<UpstreamExecuteResult> {
     const { organisation, priority, timeLeftMs, values, needed, replicaRead } = params
     const deadline = this.#clock.readTime() + timeLeftMs
@@ -198,23 +179,35 @@
   async #runProvenRead (held: HeldConnection, setup: UpstreamCommand[], run: UpstreamCommand, timeoutMs: number): Promise<UpstreamExecuteResult> {
     const refused = await this.#openTransaction(held, setup, { type: 'begin', isReadOnly: false, after: undefined }, timeoutMs, true)
     if (refused !== undefined) return refused
+    const check = this.#primary.check(true)
+    if (check.type === 'refused') return this.#refuseUnsent(held, check.reason)
     const [read, rollback] = held.connection.send([run, { type: 'rollback' }], timeoutMs) as [Promise<StatementAnswer>, Promise<StatementAnswer>]
-    const answer = await read
-    this.#recordHealth(answer)
+    const [answer] = await this.#primary.track([read]) as [StatementAnswer]
+    this.#control.recordHealth(answer)
     void rollback.then((ended) => { ended.type === 'done' ? this.#connections.release(held) : this.#connections.discard(held) })
     return this.#answer(answer, true)
   }
 
   async #finishSingle (held: HeldConnection, commands: UpstreamCommand[], setupCount: number, timeoutMs: number, provesLeader: boolean): Promise<UpstreamExecuteResult> {
     const sentAt = this.#clock.readTime()
-    const answers = await Promise.all(held.connection.send(commands, timeoutMs))
+    const sent = await this.#send(held, commands, timeoutMs, provesLeader, false)
+    if (sent === undefined) return this.#refuseUnsent(held, 'changing')
+    const { answers, revision } = sent
     const answer = answers.at(-1) as StatementAnswer
-    this.#recordHealth(answer)
-    if (provesLeader) this.#recordLeadership(answer, sentAt)
+    this.#control.recordHealth(answer)
+    if (provesLeader) this.#control.recordLeadership(answer, sentAt)
     const isSound = answer.type !== 'lost' && answers.slice(0, setupCount).every(({ type }) => type === 'done')
     if (isSound) this.#connections.release(held)
     else this.#connections.discard(held)
-    return this.#answer(answer, true)
+    return this.#answer(provesLeader ? await this.#primary.decideCommit(answer, revision, sentAt + timeoutMs - this.#clock.readTime()) : answer, true)
+  }
+
+  /** Sends in one write; undefined when the right to the primary has ended and nothing was sent. */
+  async #send (held: HeldConnection, commands: UpstreamCommand[], timeoutMs: number, needsPrimary: boolean, isJoining: boolean): Promise<Sent | undefined> {
+    if (!needsPrimary) return { answers: await Promise.all(held.connection.send(commands, timeoutMs)), revision: 0 }
+    const check = this.#primary.check(isJoining)
+    if (check.type === 'refused') return undefined
+    return { answers: await this.#primary.track(held.connection.send(commands, timeoutMs)), revision: check.revision }
   }
 
   /** Opens a transaction and runs its first statement; the connection is taken only now, not while the caller pauses. */
@@ -245,17 +238,19 @@
     const setup = held.setup.listCommands(values, undefined)
     const refused = await this.#openTransaction(held, setup, begin, timeLeftMs, provesLeader)
     if (refused !== undefined) return refused
-    this.#transactions.set(session, { held, provesLeader, usedAt: this.#clock.readTime(), isBusy: false })
+    this.#transactions.set(session, { held, provesLeader, hasWritten: false, usedAt: this.#clock.readTime(), isBusy: false })
     return this.#answer({ type: 'done', proof: '-', rows: [], position: undefined }, true)
   }
 
   /** Sends BEGIN and waits for its answer, since a statement behind a refused one runs outside of a transaction. */
   async #openTransaction (held: HeldConnection, setup: UpstreamCommand[], begin: UpstreamCommand, timeoutMs: number, provesLeader: boolean): Promise<UpstreamExecuteResult | undefined> {
     const sentAt = this.#clock.readTime()
-    const answers = await Promise.all(held.connection.send([...setup, begin], timeoutMs))
+    const sent = await this.#send(held, [...setup, begin], timeoutMs, provesLeader, false)
+    if (sent === undefined) return this.#refuseUnsent(held, 'changing')
+    const { answers } = sent
     const answer = answers.at(-1) as StatementAnswer
-    this.#recordHealth(answer)
-    if (provesLeader) this.#recordLeadership(answer, sentAt)
+    this.#control.recordHealth(answer)
+    if (provesLeader) this.#control.recordLeadership(answer, sentAt)
     if (answers.every(({ type }) => type === 'done')) return undefined
     if (answer.type === 'failed' && answers.slice(0, -1).every(({ type }) => type === 'done')) this.#connections.release(held)
     else this.#connections.discard(held)
@@ -266,6 +261,7 @@
     const transaction = this.#transactions.get(params.session)
     if (transaction === undefined) return this.#refuse('aborted', 'the transaction has ended')
     const { held } = transaction
+    transaction.hasWritten ||= operation.access === 'write'
     const answer = await this.#sendWithSlot(params, transaction, () => {
       const setup = held.setup.listCommands(params.values, params.needed)
       return [...setup, { type: 'run', id: operation.id, text: operation.text, after: undefined }]
@@ -297,12 +293,13 @@
       return this.#refuse('busy', slot.reason)
     }
     try {
-      const { connection } = transaction.held
-      if (!connection.isOpen) return this.#refuse('aborted', 'the connection of the transaction ended')
-      const answers = await Promise.all(connection.send(buildCommands(), Math.max(1, deadline - this.#clock.readTime())))
-      const answer = answers.at(-1) as StatementAnswer
-      this.#recordHealth(answer)
-      return this.#answer(answer, true)
+      if (!transaction.held.connection.isOpen) return this.#refuse('aborted', 'the connection of the transaction ended')
+      const sent = await this.#send(transaction.held, buildCommands(), Math.max(1, deadline - this.#clock.readTime()), transaction.provesLeader, true)
+      if (sent === undefined) return this.#refuse('aborted', 'another primary takes over')
+      const answer = sent.answers.at(-1) as StatementAnswer
+      this.#control.recordHealth(answer)
+      const isCommitOfWrites = params.operation.type === 'commit' && transaction.provesLeader && transaction.hasWritten
+      return this.#answer(isCommitOfWrites ? await this.#primary.decideCommit(answer, sent.revision, deadline - this.#clock.readTime()) : answer, true)
     } finally {
       transaction.isBusy = false
       transaction.usedAt = this.#clock.readTime()
@@ -322,11 +319,28 @@
       this.#connections.discard(held)
       return
     }
-    const [answer] = await Promise.all(held.connection.send([{ type: 'rollback' }], CONTROL_TIMEOUT_MS)) as [StatementAnswer]
+    const [answer] = await Promise.all(held.connection.send([{ type: 'rollback' }], ROLLBACK_TIMEOUT_MS)) as [StatementAnswer]
     if (answer.type === 'done') this.#connections.release(held)
     else this.#connections.discard(held)
   }
 
+  #needsPrimary ({ operation, session, replicaRead }: UpstreamExecuteParams): boolean {
+    return isJoining(operation) ? this.#transactions.get(session)?.provesLeader === true : replicaRead === undefined
+  }
+
+  #refuseRight ({ session, operation }: UpstreamExecuteParams, reason: 'unproven' | 'changing' | 'replaced'): UpstreamExecuteResult {
+    if (isJoining(operation)) this.#rollback(session)
+    if (reason === 'replaced') return this.#refuse('not-primary', 'another database leads the group')
+    const text = reason === 'unproven' ? 'this host cannot prove that no other one replaced the primary' : 'another primary takes over'
+    return { ...this.#refuse('busy', text), isOwnerUnable: reason === 'unproven' }
+  }
+
+  /** Session values that were prepared for the connection were not sent, so it cannot be used again. */
+  #refuseUnsent (held: HeldConnection, reason: string): UpstreamExecuteResult {
+    this.#connections.discard(held)
+    return this.#refuse('busy', `the right to use the primary ended before the statement was sent (${reason})`)
+  }
+
   #refuseAcquisition (acquisition: { type: 'refused', failure: StatementFailure, text: string } | { type: 'unreachable', reason: string }): UpstreamExecuteResult {
     if (acquisition.type === 'refused') return this.#refuse(acquisition.failure, this.#describeLoad(acquisition.text))
     this.#health.recordFailure(this.#clock.readTime())
@@ -345,25 +359,12 @@
   #answer (answer: StatementAnswer, wasSent: boolean): UpstreamExecuteResult {
     return { answer, wasSent, waitMs: this.#slots.estimateWaitMs() }
   }
-
-  #recordHealth (answer: StatementAnswer): void {
-    if (answer.type !== 'lost') {
-      this.#health.recordAnswer(this.#clock.readTime())
-      return
-    }
-    this.#health.recordFailure(this.#clock.readTime())
-    if (this.#connections.size > 0) void this.probe()
-  }
-
-  #recordLeadership (answer: StatementAnswer, sentAt: number): void {
-    if (answer.type === 'done' && answer.position !== undefined) this.#events.handleLeaderProof(this.#record, answer.position, sentAt)
-    if (answer.type === 'failed' && answer.failure === 'not-primary') {
-      this.#logger.info('database does not lead', { database: this.#record.id, group: this.#record.group })
-      this.#events.handleLeaderRefusal(this.#record)
-    }
-  }
 }
 
 function isWriting (operation: UpstreamExecuteParams['operation']): boolean {
   return operation.type === 'commit' || (operation.type === 'run' && operation.access === 'write' && operation.transaction === 'none')
 }
+
+function isJoining (operation: UpstreamExecuteParams['operation']): boolean {
+  return operation.type === 'commit' || (operation.type === 'run' && operation.transaction === 'joins')
+}
--- a/packages/host/src/upstream/owner-registry.ts
+++ b/packages/host/src/upstream/owner-registry.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
+import type { PrimaryRights } from '@tanagerusher/coordination/failover/primary-rights'
 import type { UpstreamConnector } from '@tanagerusher/coordination/common/upstream-connector'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import type { Logger } from 'winston'
@@ -10,6 +11,8 @@
   clock: Clock
   logger: Logger
   events: OwnerEvents
+  rights: PrimaryRights
+  checkClocks: () => void
   /** Connections that this host may hold to a database. */
   findLimit: (record: UpstreamRecord) => number
 }
@@ -42,8 +45,8 @@
       return known
     }
     known?.close()
-    const { connector, clock, logger, events, findLimit } = this.#options
-    const owner = DatabaseOwner.create({ record, connector, clock, logger, events })
+    const { connector, clock, logger, events, rights, checkClocks, findLimit } = this.#options
+    const owner = DatabaseOwner.create({ record, connector, clock, logger, events, rights, checkClocks })
     owner.updateLimit(findLimit(record))
     this.#owners.set(record.id, owner)
     return owner
@@ -66,6 +69,11 @@
     }
   }
 
+  /** Waits until no work for the group's primary is under way here; no longer than `timeLeftMs`. */
+  async quiesce (group: string, timeLeftMs: number): Promise<void> {
+    await Promise.all(this.all.filter(({ record }) => record.group === group).map(async (owner) => { await owner.quiesce(timeLeftMs) }))
+  }
+
   abandonSessions (incarnation: string): void {
     for (const owner of this.#owners.values()) owner.abandonSessions((session) => session.startsWith(`${incarnation}/`))
   }
--- a/packages/host/src/upstream/owner-router.ts
+++ b/packages/host/src/upstream/owner-router.ts
@@ -71,14 +71,17 @@
     const deadline = clock.readTime() + params.timeLeftMs
     const candidates = this.listCandidates(record).filter((candidate) => host === undefined || candidate.host === host)
     if (host !== undefined && candidates.length === 0) return refuse(host, 'aborted', 'the owner of the connection is gone')
+    let refused: RoutedResult | undefined
     for (const candidate of this.#listUsable(candidates).slice(0, MAXIMUM_TRIES)) {
       const timeLeftMs = Math.max(1, deadline - clock.readTime())
-      if (candidate.host === self.host) return { result: await registry.find(record).execute({ ...params, databaseId: record.id, timeLeftMs }), host: self.host }
-      const link = links.find(candidate)
-      if (!await link.prepare()) continue
-      return { result: await this.#executeAt(link, record, { ...params, databaseId: record.id, timeLeftMs }), host: candidate.host }
+      const link = candidate.host === self.host ? undefined : links.find(candidate)
+      if (link !== undefined && !await link.prepare()) continue
+      const owned = { ...params, databaseId: record.id, timeLeftMs }
+      const result = link === undefined ? await registry.find(record).execute(owned) : await this.#executeAt(link, record, owned)
+      if (result.isOwnerUnable !== true) return { result, host: candidate.host }
+      refused = { result, host: candidate.host }
     }
-    return refuse('', host === undefined ? 'busy' : 'aborted', 'no owner of the connections is reached')
+    return refused ?? refuse('', host === undefined ? 'busy' : 'aborted', 'no owner of the connections is reached')
   }
 
   /** Time until a statement sent now would start at the database. */
--- a/packages/protocol/src/peer/upstream-execute.ts
+++ b/packages/protocol/src/peer/upstream-execute.ts
@@ -49,6 +49,8 @@
     answer,
     /** Whether the statement was sent to the database. */
     wasSent: z.boolean(),
+    /** Nothing was sent since this owner lacks a proof that others may have. */
+    isOwnerUnable: z.boolean().optional(),
     /** Time that a further statement is expected to wait there. */
     waitMs: z.number()
   })
--- a/packages/state/src/upstream/host-record.ts
+++ b/packages/state/src/upstream/host-record.ts
@@ -9,7 +9,9 @@
   dataCentre: z.string(),
   region: z.string(),
   /** Bandwidth of its network link in Mbit/s; absent in records of versions before it was written. */
-  linkMbps: z.number().positive().optional()
+  linkMbps: z.number().positive().optional(),
+  /** It drains: others own its databases, but work that it has begun may still be under way. */
+  isLeaving: z.boolean().optional()
 })
 
 export type HostRecord = z.infer<typeof hostRecordSchema>
--- a/packages/state/src/upstream/upstream-command.ts
+++ b/packages/state/src/upstream/upstream-command.ts
@@ -15,3 +15,5 @@
   | { type: 'status' }
   | { type: 'pause', term: number }
   | { type: 'resume' }
+  /** Makes a primary of a lower term a replica. */
+  | { type: 'step-down', term: number }
