--- a/packages/host/test/peer-link.test.ts
+++ b/packages/host/test/peer-link.test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { hostPing } from '@tanagerusher/protocol/peer/host-ping'
-import { leaderChanged } from '@tanagerusher/protocol/peer/leader-changed'
 import { upstreamProbe } from '@tanagerusher/protocol/peer/upstream-probe'
-import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
+import { peerHello, type PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
 import { createLogger } from '@tanagerusher/runtime/log/create-logger'
 import { PeerServer } from '@tanagerusher/transport/peer/peer-server'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
@@ -59,7 +58,7 @@
 test('a link on which a large message arrives stays up although the answer to a ping waits behind it', async () => {
   const timers: NodeJS.Timeout[] = []
   const losses = await countLosses((connection) => {
-    timers.push(setInterval(() => { connection.notify(leaderChanged, { group: 'g', databaseId: 'd', term: 1 }) }, BUSY_EVERY_MS))
+    timers.push(setInterval(() => { connection.notify(peerHello, buildHello('h2')) }, BUSY_EVERY_MS))
   })
   for (const timer of timers) clearInterval(timer)
   assert.equal(losses, 0)
