Check rights to primaries over random schedules, and mend what they showed

Causes it found, each mended here: - An answer that waited in a socket during a suspension carried a time from before it and made a right, a configuration or a position look proven again. Proofs now count only by questions asked after the last suspension; hosts check their clocks before they tell others an age. - A promoter that was suspended between its confirmation and its call noticed nothing when other code had checked the clocks first, and called with an outdated token. It now counts suspensions. - A call without an answer could promote its database beside a later primary. `failover/late-calls` keeps promotions to that database until the call can no longer come. - A claim whose call was carried out late was never ended, since its successor was taken for the present leader.

--- a/packages/checker/src/common/event-queue.ts
+++ b/packages/checker/src/common/event-queue.ts
@@ -38,6 +38,12 @@
     this.#events.splice(index, 0, event)
   }
 
+  /** Time of the next event up to `time`. */
+  findNext (time: number): number | undefined {
+    const at = this.#events[0]?.at
+    return at !== undefined && at <= time ? at : undefined
+  }
+
   runUntil (time: number): void {
     for (let next = this.#events[0]; next !== undefined && next.at <= time; next = this.#events[0]) {
       this.#events.shift()
--- a/packages/checker/src/main.ts
+++ b/packages/checker/src/main.ts
@@ -1,6 +1,7 @@
 import { Command } from 'commander'
 import { createTargets } from './hostile/create-targets.js'
 import { runHostile } from './hostile/run-hostile.js'
+import { runRightsChecker } from './rights/run-rights-checker.js'
 import { runChecker } from './run-checker.js'
 
 interface Flags {
@@ -22,6 +23,16 @@
     process.exitCode = report.counterexample === undefined ? 0 : 1
   })
 
+program.command('rights')
+  .description('random schedules against the right to use a primary that goes on after its replacement')
+  .option('--seed <n>', 'seed', Number, 1)
+  .option('--runs <n>', 'number of schedules', Number, 2000)
+  .action(async ({ seed, runs }: Flags) => {
+    const report = await runRightsChecker({ seed, runs })
+    console.log(JSON.stringify(report, null, 2))
+    process.exitCode = report.counterexample === undefined ? 0 : 1
+  })
+
 program.command('hostile')
   .description('seeded hostile input for everything that takes bytes from outside')
   .option('--seed <n>', 'seed', Number, 1)
--- a/packages/coordination/src/catalogue/catalogue-replica.ts
+++ b/packages/coordination/src/catalogue/catalogue-replica.ts
@@ -21,6 +21,7 @@
   readonly #freshnessMs: number
   #catalogue: Catalogue | undefined
   #provenAt = -Infinity
+  #invalidatedAt = -Infinity
 
   private constructor ({ keyFreshnessMs }: CreateOptions) {
     this.#freshnessMs = keyFreshnessMs * USED_PART
@@ -40,14 +41,15 @@
     return true
   }
 
-  /** `version` was the newest at `sentAt`, by this host's monotonic clock. */
-  confirm (version: number, sentAt: number): void {
-    if (version <= this.version) this.#provenAt = Math.max(this.#provenAt, sentAt)
+  /** `version` was the newest at `provenAt`, by this host's monotonic clock, as the answer to a question of `askedAt` shows. */
+  confirm (version: number, provenAt: number, askedAt = provenAt): void {
+    if (version <= this.version && askedAt > this.#invalidatedAt) this.#provenAt = Math.max(this.#provenAt, provenAt)
   }
 
-  /** After a suspension no time that was measured before it can be trusted. */
-  invalidateProof (): void {
+  /** After a suspension no time that was measured before it can be trusted, nor an answer to an earlier question. */
+  invalidateProof (now: number): void {
     this.#provenAt = -Infinity
+    this.#invalidatedAt = now
   }
 
   readProofAge (now: number): number {
--- a/packages/coordination/src/configuration/relayed-objects.ts
+++ b/packages/coordination/src/configuration/relayed-objects.ts
@@ -23,6 +23,7 @@
   #revision = -1
   #digest = 0
   #provenAt = -Infinity
+  #invalidatedAt = -Infinity
 
   static create (): RelayedObjects {
     return new RelayedObjects()
@@ -56,13 +57,15 @@
     this.#advance(revision)
   }
 
-  confirm (sentAt: number): void {
-    this.#provenAt = Math.max(this.#provenAt, sentAt)
+  /** The copy was complete at `provenAt`, as the answer to a question of `askedAt` shows. */
+  confirm (provenAt: number, askedAt = provenAt): void {
+    if (askedAt > this.#invalidatedAt) this.#provenAt = Math.max(this.#provenAt, provenAt)
   }
 
-  /** After a suspension no time that was measured before it can be trusted. */
-  invalidateProof (): void {
+  /** After a suspension no time that was measured before it can be trusted, nor an answer to an earlier question. */
+  invalidateProof (now: number): void {
     this.#provenAt = -Infinity
+    this.#invalidatedAt = now
   }
 
   /** Compares with what another host answered to a request that was sent at `sentAt`. */
@@ -70,7 +73,7 @@
     if (other.revision < 0) return { type: 'nothing' }
     if (other.digest === this.#digest && this.isLoaded) {
       this.#revision = Math.max(this.#revision, other.revision)
-      this.confirm(sentAt - other.ageMs)
+      this.confirm(sentAt - other.ageMs, sentAt)
       return { type: 'confirmed' }
     }
     return other.revision > this.#revision ? { type: 'newer' } : { type: 'nothing' }
--- a/packages/coordination/src/failover/expiring-rights.ts
+++ b/packages/coordination/src/failover/expiring-rights.ts
@@ -23,6 +23,7 @@
   readonly limitMs: number
   readonly #groups = new Map<string, GroupState>()
   #provenAt = -Infinity
+  #invalidatedAt = -Infinity
 
   private constructor ({ limitMs }: CreateOptions) {
     this.limitMs = limitMs
@@ -45,12 +46,13 @@
     return claim === undefined ? undefined : { claim, revision }
   }
 
-  confirm (sentAt: number): void {
-    this.#provenAt = Math.max(this.#provenAt, sentAt)
+  confirm (provenAt: number, askedAt = provenAt): void {
+    if (askedAt > this.#invalidatedAt) this.#provenAt = Math.max(this.#provenAt, provenAt)
   }
 
-  invalidateProof (): void {
+  invalidateProof (now: number): void {
     this.#provenAt = -Infinity
+    this.#invalidatedAt = now
     for (const state of this.#groups.values()) state.before = undefined
   }
 
--- a/packages/coordination/src/failover/primary-rights.ts
+++ b/packages/coordination/src/failover/primary-rights.ts
@@ -23,10 +23,10 @@
   /** Takes what the store or another host says of a group's claim. Older versions are ignored; true when it was newer. */
   applyClaim(group: string, claim: PromotionClaim, revision: number): boolean
   findClaim(group: string): { claim: PromotionClaim, revision: number } | undefined
-  /** All claims that existed at `sentAt`, by this host's monotonic clock, have been applied. */
-  confirm(sentAt: number): void
-  /** After a suspension no time that was measured before it can be trusted. */
-  invalidateProof(): void
+  /** All claims that existed at `provenAt`, by this host's monotonic clock, have been applied; it asked at `askedAt`. */
+  confirm(provenAt: number, askedAt?: number): void
+  /** After a suspension no time that was measured before it can be trusted, nor an answer to an earlier question. */
+  invalidateProof(now: number): void
   check(use: Use, now: number): RightCheck
   checkAnswer(group: string, revision: number, now: number): AnswerCheck
   /** Gives up what was allowed before the claim of this revision, for good. */
--- a/packages/coordination/src/failover/promotion-claim.ts
+++ b/packages/coordination/src/failover/promotion-claim.ts
@@ -15,6 +15,7 @@
   leader: z.string().optional(),
   /** Term of `leader` after a promotion. */
   term: z.number().int().optional(),
+  /** Database that a call named; after the end only if a call had no answer and may still be carried out. */
   successor: z.string().optional()
 })
 
--- a/packages/coordination/src/session/position-watch.ts
+++ b/packages/coordination/src/session/position-watch.ts
@@ -12,6 +12,7 @@
  */
 export class PositionWatch {
   #observations: Observation[] = []
+  #clearedAt = -Infinity
 
   static create (): PositionWatch {
     return new PositionWatch()
@@ -19,17 +20,19 @@
 
   get newest (): Observation | undefined { return this.#observations.at(-1) }
 
-  /** `at` is when the request that proved the position was sent, by this host's monotonic clock. */
-  record (position: Position, at: number): void {
+  /** `at` is when the request that proved the position was sent, `askedAt` when this host asked, by its monotonic clock. */
+  record (position: Position, at: number, askedAt = at): void {
     const newest = this.newest
     if (newest !== undefined && (comparePositions(position, newest.position) < 0 || at <= newest.at)) return
+    if (askedAt <= this.#clearedAt) return
     this.#observations.push({ position, at })
     if (this.#observations.length > KEPT) this.#observations.shift()
   }
 
-  /** After a suspension the times say nothing. */
-  clear (): void {
+  /** After a suspension the times say nothing, nor does an answer to an earlier question. */
+  clear (now: number): void {
     this.#observations = []
+    this.#clearedAt = now
   }
 
   /**
--- a/packages/coordination/test/catalogue/catalogue-replica.test.ts
+++ b/packages/coordination/test/catalogue/catalogue-replica.test.ts
@@ -44,6 +44,16 @@
 test('after a suspension an earlier proof counts no more', () => {
   const replica = createReplica()
   replica.confirm(7, 1000)
-  replica.invalidateProof()
+  replica.invalidateProof(1000)
   assert.deepEqual(replica.checkCaller('db', 'key', 1001), { type: 'refused', reason: 'stale' })
 })
+
+// Guards against a withdrawn key that works again: an answer that waited in the socket during a suspension looks young.
+test('an answer to a question from before a suspension proves nothing, and a later one with an age does', () => {
+  const replica = createReplica()
+  replica.invalidateProof(1000)
+  replica.confirm(7, 999)
+  assert.deepEqual(replica.checkCaller('db', 'key', 1001), { type: 'refused', reason: 'stale' })
+  replica.confirm(7, 900, 1002)
+  assert.equal(replica.checkCaller('db', 'key', 1003).type, 'allowed')
+})
--- a/packages/coordination/test/failover/expiring-rights.test.ts
+++ b/packages/coordination/test/failover/expiring-rights.test.ts
@@ -2,6 +2,7 @@
 import { describe, test } from 'node:test'
 import { CallPermit } from '../../src/failover/call-permit.js'
 import { ExpiringRights } from '../../src/failover/expiring-rights.js'
+import { LateCalls } from '../../src/failover/late-calls.js'
 import type { PromotionClaim } from '../../src/failover/promotion-claim.js'
 import { RightBarrier } from '../../src/failover/right-barrier.js'
 
@@ -56,10 +57,12 @@
 
   test('is gone after a suspension until it is proven again', () => {
     const rights = openRights(0)
-    rights.invalidateProof()
+    rights.invalidateProof(10)
     assert.deepEqual(rights.check(OLD, 10), { type: 'refused', reason: 'unproven' })
-    rights.confirm(20)
-    assert.equal(rights.check(OLD, 30).type, 'held')
+    rights.confirm(9)
+    assert.deepEqual(rights.check(OLD, 10), { type: 'refused', reason: 'unproven' }, 'by an answer to an earlier question')
+    rights.confirm(5, 20)
+    assert.equal(rights.check(OLD, 30).type, 'held', 'by what another host told later')
   })
 })
 
@@ -99,6 +102,15 @@
     assert.equal(RightBarrier.create({ holders: ['a'], claimedAt: 1000, limitMs: undefined }).isOpen(1000), true)
   })
 
+  test('keeps to the database that a late call may still promote, also when another holder made it', () => {
+    const calls = LateCalls.create()
+    calls.recordClaim('g', { ...buildClaim('called', 'old'), successor: 'new' }, 7, 1000)
+    assert.equal(calls.findTarget('g', 8999), 'new')
+    calls.recordClaim('g', buildClaim('claimed', 'old'), 8, 5000)
+    assert.equal(calls.findTarget('g', 8999), 'new')
+    assert.equal(calls.findTarget('g', 9000), undefined)
+  })
+
   test('calls the endpoint only shortly after its claim was confirmed', () => {
     const permit = CallPermit.create()
     assert.equal(permit.isValid(0), false)
--- a/packages/coordination/test/session/position-watch.test.ts
+++ b/packages/coordination/test/session/position-watch.test.ts
@@ -29,3 +29,13 @@
   watch.record({ term: 1, position: 50 }, 1200)
   assert.deepEqual(watch.newest?.position, { term: 2, position: 12 })
 })
+
+// Guards against a stale read: an answer that waited in the socket during a suspension looks young.
+test('an answer to a question from before a suspension gives no position', () => {
+  const watch = PositionWatch.create()
+  watch.clear(100)
+  watch.record({ term: 1, position: 5 }, 99)
+  assert.equal(watch.findReadPosition(1500, undefined, 101), undefined)
+  watch.record({ term: 1, position: 5 }, 90, 102)
+  assert.deepEqual(watch.findReadPosition(1500, undefined, 103), { term: 1, position: 5 })
+})
--- a/packages/host/src/failover/claim-holder.ts
+++ b/packages/host/src/failover/claim-holder.ts
@@ -1,4 +1,5 @@
 import type { ClaimQueue } from '@tanagerusher/coordination/failover/claim-queue'
+import type { LateCalls } from '@tanagerusher/coordination/failover/late-calls'
 import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { ObjectStore, StoreResult } from '@tanagerusher/coordination/common/object-store'
@@ -14,6 +15,7 @@
   self: HostRecord
   store: ObjectStore
   claims: ClaimQueue
+  lateCalls: LateCalls | undefined
   clock: Clock
   logger: Logger
 }
@@ -51,8 +53,9 @@
 
   /** The claim that it replaces, or undefined with a reason in the log when another host's stands or the store is not reached. */
   async acquire (leader: string | undefined): Promise<{ before: PromotionClaim | undefined } | undefined> {
-    const { claims, group, clock } = this.#options
+    const { claims, group, lateCalls, clock } = this.#options
     const known = await this.#read()
+    if (known?.claim !== undefined) lateCalls?.recordClaim(group, known.claim, known.revision, clock.readTime())
     if (known === undefined || !claims.mayClaim(group, known.claim, known.revision, clock.readTime())) return undefined
     this.#held = known.claim === undefined ? undefined : { claim: known.claim, revision: known.revision }
     const change: Change = known.claim?.phase === 'called' ? known.claim : { phase: 'claimed', leader }
@@ -105,6 +108,7 @@
 
   #keep (claim: PromotionClaim, revision: number, sentAt: number): true {
     this.#held = { claim, revision }
+    this.#options.lateCalls?.recordClaim(this.#options.group, claim, revision, this.#options.clock.readTime())
     this.#confirmedAt = sentAt
     return true
   }
--- a/packages/host/src/failover/failover-task.ts
+++ b/packages/host/src/failover/failover-task.ts
@@ -1,6 +1,6 @@
 import { ClaimQueue } from '@tanagerusher/coordination/failover/claim-queue'
+import { LateCalls } from '@tanagerusher/coordination/failover/late-calls'
 import type { PrimaryRights } from '@tanagerusher/coordination/failover/primary-rights'
-import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import type { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
 import { computeRendezvousOrder } from '@tanagerusher/coordination/membership/compute-rendezvous-order'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
@@ -14,6 +14,7 @@
 import type { OwnerRegistry } from '../upstream/owner-registry.js'
 import type { OwnerRouter } from '../upstream/owner-router.js'
 import { ClaimHolder } from './claim-holder.js'
+import type { GroupClaims } from './group-claims.js'
 import { PromotionRun } from './promotion-run.js'
 import { ReleaseCollector } from './release-collector.js'
 
@@ -27,9 +28,8 @@
   listRecords: (group: string) => UpstreamRecord[]
   findCatalogue: () => Catalogue | undefined
   rights: PrimaryRights
-  /** Takes a claim, and gives this host's right up while it has not ended. */
-  handleClaim: (group: string, claim: PromotionClaim, revision: number, quiesceMs: number) => Promise<void>
-  checkClocks: () => boolean
+  claims: GroupClaims
+  countSuspensions: () => number
   clock: Clock
   logger: Logger
 }
@@ -53,6 +53,8 @@
 export class FailoverTask {
   readonly #options: CreateOptions
   readonly #claims: ClaimQueue
+  /** Absent where the platform compares tokens and refuses a late call. */
+  readonly #lateCalls: LateCalls | undefined
   readonly #running = new Set<string>()
   readonly #notBefore = new Map<string, number>()
   readonly #watchedAt = new Map<string, number>()
@@ -64,6 +66,7 @@
   private constructor (options: CreateOptions) {
     this.#options = options
     this.#claims = ClaimQueue.create(options.self.incarnation)
+    this.#lateCalls = options.rights.limitMs === undefined ? undefined : LateCalls.create()
   }
 
   static create (options: CreateOptions): FailoverTask {
@@ -96,7 +99,7 @@
     const records = listRecords(group)
     const leader = leaders.findLeader(group, records)
     if (records.length === 0) return
-    if (await this.#resumePromotion(group, records, leader)) return
+    if (await this.#resumePromotion(group, records)) return
     if (!this.#isResponsible(group, leader)) return
     const successors = records.filter(({ id, isLeaving }) => id !== leader?.id && !isLeaving)
     if (leader === undefined) return await this.#promote(group, undefined, successors, false)
@@ -113,13 +116,16 @@
   }
 
   /** A promotion that its holder has left unfinished withholds the primary from all hosts. True when one is under way. */
-  async #resumePromotion (group: string, records: readonly UpstreamRecord[], leader: UpstreamRecord | undefined): Promise<boolean> {
+  async #resumePromotion (group: string, records: readonly UpstreamRecord[]): Promise<boolean> {
     const { rights, clock, logger } = this.#options
     const known = rights.findClaim(group)
-    if (rights.limitMs === undefined || known === undefined || known.claim.phase === 'ended') return false
+    if (rights.limitMs === undefined || known === undefined) return false
+    this.#lateCalls?.recordClaim(group, known.claim, known.revision, clock.readTime())
+    if (known.claim.phase === 'ended') return false
     if (this.#claims.mayClaim(group, known.claim, known.revision, clock.readTime()) && this.#isResponsible(group, undefined)) {
       logger.info('unfinished promotion is taken over', { group, holder: known.claim.host, phase: known.claim.phase, successor: known.claim.successor })
-      await this.#promote(group, leader, records.filter(({ id, isLeaving }) => id !== leader?.id && !isLeaving), false)
+      // The successor that was called may lead by now, and then it is the leader that this host knows.
+      await this.#promote(group, undefined, records.filter(({ id, isLeaving }) => id === known.claim.successor || (id !== known.claim.leader && !isLeaving)), false)
     }
     return true
   }
@@ -172,13 +178,18 @@
   }
 
   async #promote (group: string, leader: UpstreamRecord | undefined, candidates: readonly UpstreamRecord[], isPlanned: boolean): Promise<void> {
-    const { leaders, links, registry, findCatalogue, self, adapter, rights, handleClaim, checkClocks, clock, logger } = this.#options
+    const { leaders, links, registry, findCatalogue, self, adapter, rights, claims, countSuspensions, clock, logger } = this.#options
     if (candidates.length === 0) return
+    if (leader !== undefined && this.#lateCalls?.findTarget(group, clock.readTime()) === leader.id) {
+      logger.info('promotion waits', { group, leader: leader.id, reason: 'a call for the present leader may still be carried out' })
+      this.#postpone(group)
+      return
+    }
     const syncReplicas = findCatalogue()?.groups.get(group)?.syncReplicas ?? 0
-    const holder = ClaimHolder.create({ group, self, store: adapter.store, claims: this.#claims, clock, logger })
-    const releases = ReleaseCollector.create({ group, self, links, limitMs: rights.limitMs, release: handleClaim, clock, logger })
-    const outcome = await PromotionRun.create({ group, leader, isPlanned, candidates, syncReplicas, self, adapter, registry, holder, releases, checkClocks, clock, logger }).run()
-    if (holder.claim !== undefined) await handleClaim(group, holder.claim, holder.revision, 0)
+    const holder = ClaimHolder.create({ group, self, store: adapter.store, claims: this.#claims, lateCalls: this.#lateCalls, clock, logger })
+    const releases = ReleaseCollector.create({ group, self, links, limitMs: rights.limitMs, claims, clock, logger })
+    const outcome = await PromotionRun.create({ group, leader, isPlanned, candidates, syncReplicas, self, adapter, registry, holder, releases, lateCalls: this.#lateCalls, countSuspensions, clock, logger }).run()
+    if (holder.claim !== undefined) await claims.release(group, holder.claim, holder.revision, 0)
     if (outcome.type === 'given-up') {
       logger.info('promotion given up', { group, reason: outcome.reason })
       this.#postpone(group)
--- a/packages/host/src/failover/promotion-run.ts
+++ b/packages/host/src/failover/promotion-run.ts
@@ -1,5 +1,6 @@
 import { CallPermit } from '@tanagerusher/coordination/failover/call-permit'
 import { chooseSuccessor } from '@tanagerusher/coordination/failover/choose-successor'
+import type { LateCalls } from '@tanagerusher/coordination/failover/late-calls'
 import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { PlatformAdapter } from '@tanagerusher/coordination/common/platform-adapter'
@@ -26,8 +27,9 @@
   registry: OwnerRegistry
   holder: ClaimHolder
   releases: ReleaseCollector
-  /** Looks whether the host was suspended; true when it was. */
-  checkClocks: () => boolean
+  /** Absent where the platform compares tokens. */
+  lateCalls: LateCalls | undefined
+  countSuspensions: () => number
   clock: Clock
   logger: Logger
 }
@@ -99,16 +101,15 @@
       renew: async () => await holder.write(claim)
     })
     if (!isClear) return { type: 'given-up', reason: 'the claim was taken over' }
-    return await this.#promoteBest(before?.phase === 'called' ? before.successor : undefined)
+    return await this.#promoteBest()
   }
 
-  async #promoteBest (called: string | undefined): Promise<Outcome> {
-    const { candidates, syncReplicas, leader, isPlanned } = this.#options
+  async #promoteBest (): Promise<Outcome> {
+    const { candidates, syncReplicas, leader, isPlanned, lateCalls, group, clock } = this.#options
     const answered = await this.#askReplicas(candidates)
-    // Another holder may have called the endpoint for it, also with an effect that is still to come.
-    const begun = answered.find(({ id, status }) => id === called && status !== undefined)
-    const successor = chooseSuccessor({ candidates: begun === undefined ? answered : [begun], syncReplicas, leaderDataCentre: leader?.dataCentre })
-    if (successor.type === 'none') return { type: 'given-up', reason: successor.reason }
+    const called = lateCalls?.findTarget(group, clock.readTime())
+    const successor = chooseSuccessor({ candidates: called === undefined ? answered : answered.filter(({ id }) => id === called), syncReplicas, leaderDataCentre: leader?.dataCentre })
+    if (successor.type === 'none') return { type: 'given-up', reason: called === undefined ? successor.reason : `${called} does not answer, and a call for it may still be carried out` }
     const { record } = successor.candidate
     if (isPlanned && leader !== undefined && !await this.#waitForReplica(leader, record)) return { type: 'given-up', reason: `${record.id} does not catch up` }
     return await this.#promote(record)
@@ -152,14 +153,14 @@
   }
 
   async #promote (record: UpstreamRecord): Promise<Outcome> {
-    const { adapter, group, self, holder, clock, logger, checkClocks } = this.#options
+    const { adapter, group, self, holder, clock, logger, countSuspensions } = this.#options
     const { id } = record
     for (let tries = 0; tries < PROMOTE_TRIES; tries++) {
-      checkClocks()
+      const suspensions = countSuspensions()
       if (!await holder.write({ phase: 'called', leader: holder.claim?.leader, successor: id })) return { type: 'given-up', reason: 'the claim could not be confirmed' }
       this.#permit.recordConfirmed(holder.confirmedAt)
       // A suspension shows only now, and a confirmation from before it says nothing.
-      if (checkClocks() || !this.#permit.isValid(clock.readTime())) continue
+      if (countSuspensions() !== suspensions || !this.#permit.isValid(clock.readTime())) continue
       const fencingToken = holder.revision
       const answer = await this.#renewDuring(adapter.promoter.promote({ group, id, host: self.host, fencingToken }, PROMOTE_TIMEOUT_MS))
       this.#isCallOpen ||= answer.type === 'no-answer'
@@ -200,7 +201,7 @@
     const wasCalled = this.#isCallOpen || before?.phase === 'called'
     if (outcome.type === 'given-up' && wasCalled) return
     const ended = outcome.type === 'promoted'
-      ? { phase: 'ended' as const, leader: outcome.id, term: outcome.term }
+      ? { phase: 'ended' as const, leader: outcome.id, term: outcome.term, successor: this.#isCallOpen ? outcome.id : undefined }
       : { phase: 'ended' as const, leader: before?.leader, term: before?.term }
     if (!await holder.write(ended) || holder.claim === undefined) {
       logger.warn('end of the promotion was not written', { group })
--- a/packages/host/src/failover/release-collector.ts
+++ b/packages/host/src/failover/release-collector.ts
@@ -6,6 +6,7 @@
 import type { Logger } from 'winston'
 import type { PeerLinks } from '../peer/peer-links.js'
 import { pause } from '../program/pause.js'
+import type { GroupClaims } from './group-claims.js'
 
 interface CreateOptions {
   group: string
@@ -13,8 +14,8 @@
   links: PeerLinks
   /** Limit of the rights in ms; undefined: nobody needs to be waited for. */
   limitMs: number | undefined
-  /** Gives this host's own right up. */
-  release: (group: string, claim: PromotionClaim, revision: number, quiesceMs: number) => Promise<void>
+  /** This host's own right. */
+  claims: GroupClaims
   clock: Clock
   logger: Logger
 }
@@ -50,10 +51,10 @@
 
   /** False when the claim was lost meanwhile. */
   async collect ({ claim, revision, hosts, claimedAt, quiesceMs, renew }: Collection): Promise<boolean> {
-    const { group, self, limitMs, release, clock, logger } = this.#options
+    const { group, self, limitMs, claims, clock, logger } = this.#options
     const barrier = RightBarrier.create({ holders: [self.incarnation, ...hosts.map(({ incarnation }) => incarnation)], claimedAt, limitMs })
     if (barrier.isOpen(clock.readTime())) return true
-    void release(group, claim, revision, quiesceMs).then(() => { barrier.recordRelease(self.incarnation) })
+    void claims.release(group, claim, revision, quiesceMs).then(() => { barrier.recordRelease(self.incarnation) })
     for (const host of hosts) if (host.host !== self.host) void this.#ask(host, { claim, revision, quiesceMs }, barrier)
     let renewedAt = clock.readTime()
     while (!barrier.isOpen(clock.readTime())) {
--- a/packages/host/src/peer/register-peer-methods.ts
+++ b/packages/host/src/peer/register-peer-methods.ts
@@ -14,9 +14,10 @@
 export function registerPeerMethods (connection: PeerConnection, parts: HostParts): void {
   const { clock, budget, registry, upstreams } = parts
   const findRecord = (id: string): UpstreamRecord | undefined => upstreams.directory.find(id, clock.readTime())
-  connection.addMethod(hostPing, async () => ({
-    isLeaving: parts.isLeaving(), copies: Object.fromEntries(parts.watchers.map((watcher) => [watcher.kind, watcher.describe()]))
-  }))
+  connection.addMethod(hostPing, async () => {
+    parts.checkClocks()
+    return { isLeaving: parts.isLeaving(), copies: Object.fromEntries(parts.watchers.map((watcher) => [watcher.kind, watcher.describe()])) }
+  })
   connection.addMethod(objectsFetch, async ({ kind, since }) => {
     const watcher = parts.watchers.find((known) => known.kind === kind)
     return watcher?.listChanges(since) ?? { revision: -1, names: [], changed: [] }
@@ -29,14 +30,16 @@
   })
   connection.addMethod(leaderPosition, async ({ databaseId }) => {
     const record = findRecord(databaseId)
-    return record === undefined ? { ageMs: 0 } : await parts.findFreshness(record.group).readLeaderPosition()
+    if (record === undefined) return { ageMs: 0 }
+    parts.checkClocks()
+    return await parts.findFreshness(record.group).readLeaderPosition()
   })
   connection.addMethod(upstreamProbe, async ({ databaseId }) => {
     const record = findRecord(databaseId)
     return { isReachable: record !== undefined && await registry.find(record).probe() }
   })
   connection.addMethod(promotionNotice, async ({ group, claim, revision, quiesceMs }) => {
-    await parts.handleClaim(group, promotionClaim.parse(claim), revision, quiesceMs)
+    await parts.claims.release(group, promotionClaim.parse(claim), revision, quiesceMs)
     return { incarnation: parts.incarnation }
   })
   void Promise.all([connection.remoteHello, connection.closed]).then(
--- a/packages/host/src/program/host-clock.ts
+++ b/packages/host/src/program/host-clock.ts
@@ -5,6 +5,7 @@
 export class HostClock implements Clock {
   readonly #detector = SuspensionDetector.create()
   readonly #handleSuspended: () => void
+  #suspensions = 0
 
   private constructor (handleSuspended: () => void) {
     this.#handleSuspended = handleSuspended
@@ -18,10 +19,15 @@
     return performance.now()
   }
 
-  /** True when the clocks moved apart since the last check. */
-  check (): boolean {
-    const hasMoved = this.#detector.check(performance.now(), Date.now())
-    if (hasMoved) this.#handleSuspended()
-    return hasMoved
+  check (): void {
+    if (!this.#detector.check(performance.now(), Date.now())) return
+    this.#suspensions++
+    this.#handleSuspended()
+  }
+
+  /** Suspensions until now; a difference shows one, also when other code noticed it first. */
+  countSuspensions (): number {
+    this.check()
+    return this.#suspensions
   }
 }
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -3,7 +3,6 @@
 import { DatabaseEnforcedRights } from '@tanagerusher/coordination/failover/database-enforced-rights'
 import { ExpiringRights } from '@tanagerusher/coordination/failover/expiring-rights'
 import type { PrimaryRights } from '@tanagerusher/coordination/failover/primary-rights'
-import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
 import type { PeerHello } from '@tanagerusher/protocol/peer/peer-hello'
 import { createLogger } from '@tanagerusher/runtime/log/create-logger'
@@ -14,6 +13,7 @@
 import { CallerServer } from '../caller/caller-server.js'
 import { OperationRunner } from '../caller/operation-runner.js'
 import { FailoverTask } from '../failover/failover-task.js'
+import { GroupClaims } from '../failover/group-claims.js'
 import { PeerLinks } from '../peer/peer-links.js'
 import { registerPeerMethods } from '../peer/register-peer-methods.js'
 import type { HostSettings } from '../settings/host-settings.js'
@@ -51,10 +51,10 @@
   const freshness = new Map<string, GroupFreshness>()
   const clock = HostClock.create(() => {
     logger.warn('clocks moved apart: everything that was believed counts as old')
-    for (const watcher of parts.watchers) watcher.invalidateProof()
     catalogue.invalidateProof()
+    for (const watcher of parts.watchers) watcher.invalidateProof()
     for (const group of freshness.values()) group.clear()
-    rights.invalidateProof()
+    rights.invalidateProof(clock.readTime())
   })
   const rights: PrimaryRights = settings.promotionStopsPrimary ? DatabaseEnforcedRights.create() : ExpiringRights.create({ limitMs: settings.keyFreshnessMs * RIGHT_PART })
   const metrics = HostMetrics.create()
@@ -107,13 +107,7 @@
     handleApplied: (applied) => { budget.updateCatalogue(applied) }
   })
   const upstreams = UpstreamsTask.create({ store: adapter.store, kind: adapter.upstreamKind, decode: adapter.decodeUpstreamRecord, relays, clock, logger })
-  const handleClaim = async (group: string, claim: PromotionClaim, revision: number, quiesceMs: number): Promise<void> => {
-    if (rights.applyClaim(group, claim, revision)) logger.info('claim of a group', { group, revision, phase: claim.phase, holder: claim.host, leader: claim.leader, term: claim.term })
-    if (claim.phase !== 'ended') {
-      await registry.quiesce(group, quiesceMs)
-      rights.release(group, revision)
-    } else if (claim.leader !== undefined) leaders.recordAppointment(group, claim.leader, claim.term ?? 0)
-  }
+  const claims = GroupClaims.create({ rights, leaders, quiesce: async (group, timeLeftMs) => { await registry.quiesce(group, timeLeftMs) }, logger })
   const fleet = FleetTask.create({
     store: adapter.store,
     self,
@@ -121,11 +115,8 @@
     clock,
     logger,
     watchMs: rights.limitMs === undefined ? FLEET_WATCH_MS : RIGHTS_WATCH_MS,
-    handleClaim: (group, claim, revision) => {
-      if (claim.phase === 'ended') void handleClaim(group, claim, revision, 0)
-      else if (rights.applyClaim(group, claim, revision)) logger.info('claim of a group', { group, revision, phase: claim.phase, holder: claim.host })
-    },
-    handleConfirmed: (sentAt) => { if (!isReleased) rights.confirm(sentAt) },
+    handleClaim: (group, claim, revision) => { claims.apply(group, claim, revision) },
+    handleConfirmed: (provenAt, askedAt) => { if (!isReleased) rights.confirm(provenAt, askedAt) },
     handleHosts: (records) => {
       router.updateHosts(records)
       relays.updateHosts(records)
@@ -133,12 +124,12 @@
     }
   })
   const failover = FailoverTask.create({
-    self, adapter, leaders, links, registry, router, listRecords, findCatalogue: () => catalogue.replica.catalogue, rights, handleClaim, checkClocks: () => clock.check(), clock, logger
+    self, adapter, leaders, links, registry, router, listRecords, findCatalogue: () => catalogue.replica.catalogue, rights, claims, countSuspensions: () => clock.countSuspensions(), clock, logger
   })
   let isLeaving = false
   let isReleased = false
   const parts: HostParts = {
-    clock, budget, catalogue, registry, upstreams, incarnation, handleClaim, findFreshness, watchers: [catalogue.watcher, upstreams.watcher, fleet.watcher], isLeaving: () => isLeaving
+    clock, checkClocks: () => { clock.check() }, budget, catalogue, registry, upstreams, incarnation, claims, findFreshness, watchers: [catalogue.watcher, upstreams.watcher, fleet.watcher], isLeaving: () => isLeaving
   }
   const peers = await PeerServer.open({
     address: settings.address, port: self.port, hello, handleConnection: (connection) => { registerPeerMethods(connection, parts) }
@@ -191,7 +182,7 @@
     adapter.store.close()
     logger.info('stopped')
   }
-  const shutdown: HostShutdown = HostShutdown.create({ graceMs: settings.graceSeconds * 1000, callers, registry, fleet, releaseRights: () => { isReleased = true; rights.invalidateProof() }, clock, logger })
+  const shutdown: HostShutdown = HostShutdown.create({ graceMs: settings.graceSeconds * 1000, callers, registry, fleet, releaseRights: () => { isReleased = true; rights.invalidateProof(clock.readTime()) }, clock, logger })
   return {
     reload: (changed) => {
       const fields = Object.keys(changed).filter((field) => JSON.stringify(changed[field]) !== JSON.stringify(settings[field]))
--- a/packages/host/src/store/catalogue-task.ts
+++ b/packages/host/src/store/catalogue-task.ts
@@ -44,7 +44,7 @@
         handleChanged: (changed, _removed, source) => {
           for (const { name, value } of changed) if (name === location.name) this.#apply(value, source)
         },
-        handleConfirmed: (sentAt) => { if (this.replica.catalogue !== undefined) this.replica.confirm(this.replica.version, sentAt) }
+        handleConfirmed: (provenAt, askedAt) => { if (this.replica.catalogue !== undefined) this.replica.confirm(this.replica.version, provenAt, askedAt) }
       }
     })
   }
@@ -64,7 +64,7 @@
   }
 
   invalidateProof (): void {
-    this.replica.invalidateProof()
+    this.replica.invalidateProof(this.#options.clock.readTime())
     this.watcher.invalidateProof()
   }
 
--- a/packages/host/src/store/fleet-task.ts
+++ b/packages/host/src/store/fleet-task.ts
@@ -21,8 +21,8 @@
   /** Hosts that own databases and share rates. */
   handleHosts: (hosts: readonly HostRecord[]) => void
   handleClaim: (group: string, claim: PromotionClaim, revision: number) => void
-  /** All claims at `sentAt` are known here, and this host's record was in the store then. */
-  handleConfirmed: (sentAt: number) => void
+  /** All claims at `provenAt` are known here, and this host's record was in the store then. */
+  handleConfirmed: (provenAt: number, askedAt: number) => void
 }
 
 const RETRY_MS = 300
@@ -53,7 +53,7 @@
       logger,
       events: {
         handleChanged: (changed, removed) => { this.#handleChanged(changed, removed) },
-        handleConfirmed: (sentAt) => { if (this.#registeredAt !== undefined && sentAt >= this.#registeredAt) options.handleConfirmed(sentAt) }
+        handleConfirmed: (provenAt, askedAt) => { if (this.#registeredAt !== undefined && provenAt >= this.#registeredAt) options.handleConfirmed(provenAt, askedAt) }
       }
     })
   }
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -77,7 +77,7 @@
   }
 
   invalidateProof (): void {
-    this.#copy.invalidateProof()
+    this.#copy.invalidateProof(this.#options.clock.readTime())
   }
 
   /** What another host said of its copy, in the answer to a ping that was sent at `sentAt`. */
@@ -85,7 +85,7 @@
     const returnedAt = sentAt - state.returnAgeMs
     if (returnedAt > (this.#returnedAt ?? 0)) this.#returnedAt = returnedAt
     const news = this.#copy.compare(state, sentAt)
-    if (news.type === 'confirmed') this.#options.events.handleConfirmed?.(sentAt - state.ageMs)
+    if (news.type === 'confirmed') this.#options.events.handleConfirmed?.(sentAt - state.ageMs, sentAt)
     else if (news.type === 'newer' && !this.#isListDue) void this.#fetch(link)
   }
 
@@ -159,8 +159,8 @@
   }
 
   #confirm (sentAt: number): void {
-    this.#copy.confirm(sentAt)
-    this.#options.events.handleConfirmed?.(sentAt)
+    this.#copy.confirm(sentAt, sentAt)
+    this.#options.events.handleConfirmed?.(sentAt, sentAt)
   }
 
   #recordOutcome (failure: StoreFailure | undefined): void {
--- a/packages/host/src/store/watch-events.ts
+++ b/packages/host/src/store/watch-events.ts
@@ -4,6 +4,6 @@
 export interface WatchEvents {
   /** `removed` are the names that are gone since the last call. */
   handleChanged(changed: readonly StoreObject[], removed: readonly string[], source: string): void
-  /** What was handled so far was complete when a request was sent at `sentAt`. */
-  handleConfirmed?(sentAt: number): void
+  /** What was handled so far was complete at `provenAt`, as the answer to a question of `askedAt` shows. */
+  handleConfirmed?(provenAt: number, askedAt: number): void
 }
--- a/packages/host/src/upstream/group-freshness.ts
+++ b/packages/host/src/upstream/group-freshness.ts
@@ -45,12 +45,12 @@
   }
 
   record (position: Position, sentAt: number): void {
-    this.#watch.record(position, sentAt)
+    this.#watch.record(position, sentAt, sentAt)
   }
 
   /** After a suspension or a step of the clock. */
   clear (): void {
-    this.#watch.clear()
+    this.#watch.clear(this.#options.clock.readTime())
   }
 
   findReadPosition (maxStalenessMs: number, floor: Position | undefined): Position | undefined {
@@ -99,7 +99,7 @@
     const sentAt = clock.readTime()
     try {
       const { position, ageMs } = await link.request(leaderPosition, { databaseId: leader.id }, REQUEST_TIMEOUT_MS)
-      if (position !== undefined) this.#watch.record(position, sentAt - ageMs)
+      if (position !== undefined) this.#watch.record(position, sentAt - ageMs, sentAt)
     } catch {
       // The link logs its own loss; without a position reads go to the primary.
     }
