Keep what the last promotion said of the leader in a new claim

Cause: a claim named the leader that its writer believed in. Change: a claim carries the leader and term of the claim before it, and a host whose leader was replaced already does not claim.

--- a/packages/host/src/failover/claim-holder.ts
+++ b/packages/host/src/failover/claim-holder.ts
@@ -51,14 +51,22 @@
   /** When the last write that was carried out had been sent. */
   get confirmedAt (): number { return this.#confirmedAt }
 
-  /** The claim that it replaces, or undefined with a reason in the log when another host's stands or the store is not reached. */
+  /**
+   * The claim that it replaces. Undefined with a reason in the log when another host's stands, `leader` was replaced already, or
+   * the store is not reached. The new claim keeps what the one before says of the leader, in case it ends without a promotion.
+   */
   async acquire (leader: string | undefined): Promise<{ before: PromotionClaim | undefined } | undefined> {
-    const { claims, group, lateCalls, clock } = this.#options
+    const { claims, group, lateCalls, clock, logger } = this.#options
     const known = await this.#read()
     if (known?.claim !== undefined) lateCalls?.recordClaim(group, known.claim, known.revision, clock.readTime())
     if (known === undefined || !claims.mayClaim(group, known.claim, known.revision, clock.readTime())) return undefined
     this.#held = known.claim === undefined ? undefined : { claim: known.claim, revision: known.revision }
-    const change: Change = known.claim?.phase === 'called' ? known.claim : { phase: 'claimed', leader }
+    const before = known.claim
+    if (before?.phase === 'ended' && before.leader !== undefined && leader !== undefined && before.leader !== leader) {
+      logger.info('another database leads by now', { group, leader, appointed: before.leader, term: before.term })
+      return undefined
+    }
+    const change: Change = before?.phase === 'called' ? before : { phase: 'claimed', leader: before?.leader, term: before?.term }
     return await this.#write(change, known.revision, known.claim?.sequence ?? 0) ? { before: known.claim } : undefined
   }
 
--- a/packages/host/src/failover/failover-task.ts
+++ b/packages/host/src/failover/failover-task.ts
@@ -124,8 +124,9 @@
     if (known.claim.phase === 'ended') return false
     if (this.#claims.mayClaim(group, known.claim, known.revision, clock.readTime()) && this.#isResponsible(group, undefined)) {
       logger.info('unfinished promotion is taken over', { group, holder: known.claim.host, phase: known.claim.phase, successor: known.claim.successor })
-      // The successor that was called may lead by now, and then it is the leader that this host knows.
-      await this.#promote(group, undefined, records.filter(({ id, isLeaving }) => id === known.claim.successor || (id !== known.claim.leader && !isLeaving)), false)
+      // The successor that was called may lead by now, so the primary that is replaced is the one in the claim.
+      const replaced = records.find(({ id }) => id === known.claim.leader)
+      await this.#promote(group, replaced, records.filter(({ id, isLeaving }) => id === known.claim.successor || (id !== known.claim.leader && !isLeaving)), false)
     }
     return true
   }
--- a/packages/host/src/failover/promotion-run.ts
+++ b/packages/host/src/failover/promotion-run.ts
@@ -157,7 +157,7 @@
     const { id } = record
     for (let tries = 0; tries < PROMOTE_TRIES; tries++) {
       const suspensions = countSuspensions()
-      if (!await holder.write({ phase: 'called', leader: holder.claim?.leader, successor: id })) return { type: 'given-up', reason: 'the claim could not be confirmed' }
+      if (!await holder.write({ phase: 'called', leader: holder.claim?.leader, term: holder.claim?.term, successor: id })) return { type: 'given-up', reason: 'the claim could not be confirmed' }
       this.#permit.recordConfirmed(holder.confirmedAt)
       // A suspension shows only now, and a confirmation from before it says nothing.
       if (countSuspensions() !== suspensions || !this.#permit.isValid(clock.readTime())) continue
