Renew proofs at once after a step of the clock, and let rights last 0.8 of the key limit

Cause: after a step of the clock a relay had no proof until its next watch had ended, up to two watches later, and the others none until a ping after that. A host that started again kept a promoter waiting for its old incarnation.

Change: a relay lists at once when its clocks moved, the others ping the relays at once, and work waits up to 150 ms for a proof. An incarnation that answers under the name of an older one releases that. The promoter allows 400 ms beyond the limit, since a store that is about to drop its history answers watches without the last changes.

--- a/packages/coordination/src/failover/right-barrier.ts
+++ b/packages/coordination/src/failover/right-barrier.ts
@@ -7,8 +7,8 @@
   limitMs: number | undefined
 }
 
-/** Monotonic clocks run apart by far less in the few seconds of a limit; the rest is the way of the last statement. */
-const ALLOWANCE_MS = 150
+/** For the way of the last statement, and for a store that answers a watch without the changes of the last moments before it drops its history. */
+const ALLOWANCE_MS = 400
 
 /**
  * When a promoter may go on: every holder has released its right, or the rights have run out. Answers the load of a failover
--- a/packages/host/src/failover/release-collector.ts
+++ b/packages/host/src/failover/release-collector.ts
@@ -80,7 +80,11 @@
     const link = links.find(host)
     while (barrier.waiting.includes(host.incarnation) && !barrier.isOpen(clock.readTime())) {
       try {
-        if (await link.prepare()) barrier.recordRelease((await link.request(promotionNotice, { group, ...notice }, notice.quiesceMs + NOTICE_TIMEOUT_MS)).incarnation)
+        if (await link.prepare()) {
+          await link.request(promotionNotice, { group, ...notice }, notice.quiesceMs + NOTICE_TIMEOUT_MS)
+          // Another incarnation that answers under the host's name has released its own right, and the one that was asked has ended.
+          barrier.recordRelease(host.incarnation)
+        }
       } catch (error) {
         logger.info('host did not release its right', { group, peer: host.host, reason: String((error as Error).message) })
       }
--- a/packages/host/src/peer/peer-link.ts
+++ b/packages/host/src/peer/peer-link.ts
@@ -55,6 +55,7 @@
   #suspicion: NodeJS.Timeout | undefined
   #watchedAt = -Infinity
   #isPinging = false
+  #isRefreshDue = false
   #isClosed = false
   #roundTripMs: number | undefined
 
@@ -99,6 +100,12 @@
     else this.#wantedAt = now
   }
 
+  /** Pings at once: what earlier answers proved counts no more. */
+  refresh (): void {
+    this.#isRefreshDue = this.#isPinging
+    if (!this.#isPinging) void this.#ping()
+  }
+
   async request<Params extends z.ZodType, Result extends z.ZodType> (
     definition: MethodDefinition<Params, Result>, params: z.input<Params>, timeoutMs: number
   ): Promise<z.infer<Result>> {
@@ -172,7 +179,10 @@
     this.#isPinging = false
     if (this.#connection !== connection) return
     const now = this.#clock.readTime()
-    if (now - this.#wantedAt > IDLE_MS) connection.close()
+    if (this.#isRefreshDue) {
+      this.#isRefreshDue = false
+      void this.#ping()
+    } else if (now - this.#wantedAt > IDLE_MS) connection.close()
     else this.#timer = setTimeout(() => { void this.#ping() }, now - this.#watchedAt <= WATCHED_FOR_MS ? WATCHED_PING_MS : UNWATCHED_PING_MS)
   }
 
--- a/packages/host/src/peer/register-peer-methods.ts
+++ b/packages/host/src/peer/register-peer-methods.ts
@@ -40,7 +40,7 @@
   })
   connection.addMethod(promotionNotice, async ({ group, claim, revision, quiesceMs }) => {
     await parts.claims.release(group, promotionClaim.parse(claim), revision, quiesceMs)
-    return { incarnation: parts.incarnation }
+    return {}
   })
   void Promise.all([connection.remoteHello, connection.closed]).then(
     ([hello]) => { registry.abandonSessions(hello.incarnation) },
--- a/packages/host/src/program/host-parts.ts
+++ b/packages/host/src/program/host-parts.ts
@@ -16,7 +16,6 @@
   catalogue: CatalogueTask
   registry: OwnerRegistry
   upstreams: UpstreamsTask
-  incarnation: string
   claims: GroupClaims
   findFreshness: (group: string) => GroupFreshness
   /** All kinds of objects that hosts take from each other. */
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -55,6 +55,7 @@
     for (const watcher of parts.watchers) watcher.invalidateProof()
     for (const group of freshness.values()) group.clear()
     rights.invalidateProof(clock.readTime())
+    relays.refresh()
   })
   const rights: PrimaryRights = settings.promotionStopsPrimary ? DatabaseEnforcedRights.create() : ExpiringRights.create({ limitMs: settings.keyFreshnessMs * RIGHT_PART })
   const metrics = HostMetrics.create()
@@ -129,7 +130,7 @@
   let isLeaving = false
   let isReleased = false
   const parts: HostParts = {
-    clock, checkClocks: () => { clock.check() }, budget, catalogue, registry, upstreams, incarnation, claims, findFreshness, watchers: [catalogue.watcher, upstreams.watcher, fleet.watcher], isLeaving: () => isLeaving
+    clock, checkClocks: () => { clock.check() }, budget, catalogue, registry, upstreams, claims, findFreshness, watchers: [catalogue.watcher, upstreams.watcher, fleet.watcher], isLeaving: () => isLeaving
   }
   const peers = await PeerServer.open({
     address: settings.address, port: self.port, hello, handleConnection: (connection) => { registerPeerMethods(connection, parts) }
@@ -202,10 +203,10 @@
 
 /** Settings that take effect without a new start. */
 const RELOADED_FIELDS = ['logLevel', 'graceSeconds']
-/** A request isn't owed where the store was out of reach for this part of the time in which a withdrawn key may work. */
-const RIGHT_PART = 0.6
-/** A proof is up to two watches and a ping old, which must leave a second of the rights' limit. */
-const RIGHTS_WATCH_MS = 800
+/** Of the time in which a withdrawn key may work. With the age of a proof, a right ends about when keys can no longer be confirmed. */
+const RIGHT_PART = 0.8
+/** A proof is up to two watches and a ping old, which must leave more than half of the rights' limit. */
+const RIGHTS_WATCH_MS = 600
 /** Hosts come and go seldom, and a host that is gone is found out by its link. */
 const FLEET_WATCH_MS = 5000
 /** A replica read waits this long for a first position before it goes to the primary. */
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -42,9 +42,12 @@
   readonly #options: CreateOptions
   readonly #copy = RelayedObjects.create()
   #isListDue = true
+  /** Lists that were taken. */
+  #lists = 0
   #failures = 0
   #isClosed = false
   #isFetching = false
+  #isRefreshing = false
   #lostAt: number | undefined
   #returnedAt: number | undefined
 
@@ -78,6 +81,8 @@
 
   invalidateProof (): void {
     this.#copy.invalidateProof(this.#options.clock.readTime())
+    // The answer of the watch under way proves nothing any more, and the other hosts wait for this one.
+    if (this.#options.relays.isSelf && !this.#isListDue && !this.#isRefreshing) void this.#refresh()
   }
 
   /** What another host said of its copy, in the answer to a ping that was sent at `sentAt`. */
@@ -120,18 +125,29 @@
     if (answer.type !== 'ok') return answer
     if (this.#isClosed) return undefined
     this.#isListDue = false
+    this.#lists++
     const { objects, revision } = answer.value
     events.handleChanged(objects, this.#copy.applyList(objects, revision), 'store')
     this.#confirm(sentAt)
     return undefined
   }
 
+  async #refresh (): Promise<void> {
+    this.#isRefreshing = true
+    const failure = await this.#list()
+    this.#isRefreshing = false
+    if (failure !== undefined) this.#options.logger.info('copy was not refreshed', { kind: this.kind, ...failure })
+  }
+
   async #watch (revision: number): Promise<StoreFailure | undefined> {
     const { store, kind, waitMs, clock, events } = this.#options
     const sentAt = clock.readTime()
+    const lists = this.#lists
     const answer = await store.watch(kind, revision, waitMs)
     if (answer.type !== 'ok') return answer
     if (this.#isClosed) return undefined
+    // A list has come in between; the next watch goes on from it, and these changes may be older.
+    if (this.#lists !== lists) return undefined
     const { changes } = answer.value
     this.#copy.applyChanges(changes, answer.value.revision)
     if (changes.length > 0) {
--- a/packages/host/src/store/relay-choice.ts
+++ b/packages/host/src/store/relay-choice.ts
@@ -37,6 +37,12 @@
     this.#choose()
   }
 
+  /** Asks the relays at once what they know; after a suspension, or a step of the clock, nothing from before counts. */
+  refresh (): void {
+    const { links, self } = this.#options
+    for (const relay of this.#relays) if (relay.host !== self) links.find(relay).refresh()
+  }
+
   close (): void {
     clearTimeout(this.#timer)
   }
--- a/packages/host/src/upstream/primary-gate.ts
+++ b/packages/host/src/upstream/primary-gate.ts
@@ -15,6 +15,12 @@
 /** A change of primary takes some hundred milliseconds; work that waits for it looks this often. */
 const STEP_MS = 15
 
+/**
+ * How long work waits for a right, in ms. A proof that a suspension or a step of the clock has cost is back within a ping; one that
+ * stays away is not worth waiting for, and another owner may have it.
+ */
+const WAITS_MS = { changing: Infinity, unproven: 150, replaced: 0 } as const
+
 /** What one owner sends to a database as the primary of its group passes here. */
 export class PrimaryGate {
   readonly #options: CreateOptions
@@ -34,12 +40,12 @@
     return rights.check({ group, databaseId, isJoining }, clock.readTime())
   }
 
-  /** Waits while another database is being promoted; the outcome decides where the work goes. */
+  /** Waits while another database is being promoted, whose outcome decides where the work goes, and shortly for a proof. */
   async wait (isJoining: boolean, timeLeftMs: number): Promise<RightCheck> {
     const { clock } = this.#options
-    const deadline = clock.readTime() + timeLeftMs
+    const startedAt = clock.readTime()
     let check = this.check(isJoining)
-    while (check.type === 'refused' && check.reason === 'changing' && clock.readTime() < deadline) {
+    while (check.type === 'refused' && clock.readTime() - startedAt < Math.min(timeLeftMs, WAITS_MS[check.reason])) {
       await pause(STEP_MS)
       check = this.check(isJoining)
     }
--- a/packages/protocol/src/peer/promotion-notice.ts
+++ b/packages/protocol/src/peer/promotion-notice.ts
@@ -14,5 +14,5 @@
     /** Time for what is under way and for open transactions to end. */
     quiesceMs: z.number().nonnegative()
   }),
-  result: z.object({ incarnation: z.string() })
+  result: z.object({})
 } as const
