--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -203,8 +203,8 @@
 
 /** Settings that take effect without a new start. */
 const RELOADED_FIELDS = ['logLevel', 'graceSeconds']
-/** Of the time in which a withdrawn key may work. With the age of a proof, a right ends about when keys can no longer be confirmed. */
-const RIGHT_PART = 0.8
+/** Of the time in which a withdrawn key may work. A longer one keeps primaries while the store is away, and makes each promotion wait longer for a lost host. */
+const RIGHT_PART = 0.6
 /** A proof is up to two watches and a ping old, which must leave more than half of the rights' limit. */
 const RIGHTS_WATCH_MS = 600
 /** Hosts come and go seldom, and a host that is gone is found out by its link. */
