--- a/packages/coordination/src/failover/leader-view.ts
+++ b/packages/coordination/src/failover/leader-view.ts
@@ -52,10 +52,6 @@
     this.#refused.set(record.id, { revision: record.revision, startedAt: record.startedAt })
   }
 
-  findTerm (group: string): number {
-    return Math.max(this.#proofs.get(group)?.term ?? 0, this.#appointed.get(group)?.term ?? 0)
-  }
-
   /** The leader among the records of one group; undefined when none is known. */
   findLeader (group: string, records: readonly UpstreamRecord[]): UpstreamRecord | undefined {
     const proven = records.find(({ id }) => id === this.#proofs.get(group)?.id)
