Log and count what distinguishes causes of an outdated copy of the store

No logic changes. The logs did not give the revision that a watch starts from, the store's own revision, its era (Store-Era), or a peer's state or a catalogue that was ignored as not newer. New lines: `copy listed`, `store was restored from a copy`, `copy of another host differs and is not newer` (once a difference), `catalogue is not newer`. New metrics, by kind: era, revision and age of confirmation of the copy, lists, watches without history.

--- a/packages/coordination/src/common/object-store.ts
+++ b/packages/coordination/src/common/object-store.ts
@@ -16,9 +16,10 @@
 
 /** Store of objects by kind and name, with conditional writes and watches. */
 export interface ObjectStore {
-  list(kind: string): Promise<StoreResult<{ revision: number, objects: StoreObject[] }>>
+  /** `era` increases when the store is restored from an older copy of itself. */
+  list(kind: string): Promise<StoreResult<{ era: number, revision: number, objects: StoreObject[] }>>
   /** Waits up to `waitMs` for changes after `revision`. */
-  watch(kind: string, revision: number, waitMs: number): Promise<StoreResult<{ revision: number, changes: StoreChange[] }>>
+  watch(kind: string, revision: number, waitMs: number): Promise<StoreResult<{ era: number, revision: number, changes: StoreChange[] }>>
   create(kind: string, name: string, value: unknown): Promise<StoreResult<StoreObject>>
   /** When `revision` is given, replaces the object only if it still has this revision. */
   replace(kind: string, name: string, value: unknown, revision?: number): Promise<StoreResult<StoreObject>>
--- a/packages/host/src/program/render-metrics.ts
+++ b/packages/host/src/program/render-metrics.ts
@@ -13,6 +13,7 @@
   new Gauge({ name: 'tanagerusher_catalogue_version', help: 'Version of the catalogue in force', registers }).set(catalogue.replica.version)
   new Gauge({ name: 'tanagerusher_catalogue_proof_age_ms', help: 'Time since the catalogue was proven to be the newest', registers })
     .set(catalogue.replica.readConfirmationAgeMs(clock.readTime()))
+  addCopies(registry, services)
   const work = new Gauge({ name: 'tanagerusher_database_work', help: 'Work at the databases whose connections this host holds', labelNames: ['database', 'state'], registers })
   for (const { record, load, openTransactions } of owners.all) {
     for (const [state, value] of Object.entries({ ...load, transactions: openTransactions })) work.set({ database: record.id, state }, value)
@@ -20,6 +21,25 @@
   return { contentType: registry.contentType, text: await registry.metrics() }
 }
 
+/** Adds the state of the copies of the store's objects, by kind. */
+function addCopies (registry: Registry, { watchers, clock }: HostServices): void {
+  const registers = [registry]
+  const labelNames = ['kind']
+  const era = new Gauge({ name: 'tanagerusher_store_era', help: 'Era of the store, which rises when it is restored from a copy', labelNames, registers })
+  const revision = new Gauge({ name: 'tanagerusher_copy_revision', help: 'Revision of the store to which the copy corresponds', labelNames, registers })
+  const age = new Gauge({ name: 'tanagerusher_copy_confirmation_age_ms', help: 'Time since the copy was confirmed to be current', labelNames, registers })
+  const lists = new Counter({ name: 'tanagerusher_copy_lists_total', help: 'Lists of the store that were applied', labelNames, registers })
+  const gaps = new Counter({ name: 'tanagerusher_watch_history_gaps_total', help: 'Watches that failed because the store lacked the history', labelNames, registers })
+  for (const watcher of watchers) {
+    const { kind } = watcher
+    era.set({ kind }, watcher.era)
+    revision.set({ kind }, watcher.revision)
+    age.set({ kind }, watcher.readConfirmationAgeMs(clock.readTime()))
+    lists.inc({ kind }, watcher.appliedLists)
+    gaps.inc({ kind }, watcher.historyGaps)
+  }
+}
+
 /** Adds the latency histogram in Prometheus format, with cumulative buckets. */
 function addLatency (registry: Registry, { latency }: HostMetrics): void {
   const registers = [registry]
--- a/packages/host/src/store/catalogue-task.ts
+++ b/packages/host/src/store/catalogue-task.ts
@@ -78,7 +78,12 @@
   #apply (value: unknown, source: string): void {
     const { logger, decode, handleApplied } = this.#options
     const catalogue = decode(value, (reason) => { logger.error('catalogue cannot be decoded', { source, reason }) })
-    if (catalogue === undefined || !this.replica.apply(catalogue)) return
+    if (catalogue === undefined) return
+    const { version } = this.replica
+    if (!this.replica.apply(catalogue)) {
+      logger.info('catalogue is not newer', { source, version: catalogue.version, inForce: version })
+      return
+    }
     logger.info('catalogue applied', { source, version: catalogue.version, entries: catalogue.entries.size, organisations: catalogue.organisations.size })
     handleApplied(catalogue)
   }
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -43,9 +43,13 @@
 export class ObjectWatcher {
   readonly #options: CreateOptions
   readonly #copy = RelayedObjects.create()
+  /** Era of the store in its last response. */
+  #era: number | undefined
+  /** Revision and digest of the last copy of another host that differed without being newer, to log each only once. */
+  #loggedDifference = ''
   #isListDue = true
-  /** Number of lists that were applied. */
   #appliedLists = 0
+  #historyGaps = 0
   #failures = 0
   #isClosed = false
   #isFetching = false
@@ -62,6 +66,14 @@
   }
 
   get kind (): string { return this.#options.kind }
+  /** Number of lists that were applied. */
+  get appliedLists (): number { return this.#appliedLists }
+  /** Number of watches that failed because the store did not have the history for them. */
+  get historyGaps (): number { return this.#historyGaps }
+  get era (): number { return this.#era ?? 0 }
+  get revision (): number { return this.#copy.revision }
+
+  readConfirmationAgeMs (now: number): number { return this.#copy.readConfirmationAgeMs(now) }
 
   /** Time in ms since the store became unreachable; 0 while it is reachable. */
   readOutageMs (now: number): number {
@@ -94,6 +106,7 @@
     const comparison = this.#copy.compare(state, sentAt)
     if (comparison.type === 'confirmed') this.#options.events.handleConfirmed?.(sentAt - state.ageMs, sentAt)
     else if (comparison.type === 'newer' && !this.#isListDue) void this.#fetch(link)
+    else if (comparison.type === 'nothing') this.#recordDifference(link, state)
   }
 
   async run (): Promise<void> {
@@ -121,15 +134,19 @@
   }
 
   async #list (): Promise<StoreFailure | undefined> {
-    const { store, kind, clock, events } = this.#options
+    const { store, kind, clock, logger, events } = this.#options
     const sentAt = clock.readTime()
     const result = await store.list(kind)
     if (result.type !== 'ok') return result
     if (this.#isClosed) return undefined
     this.#isListDue = false
     this.#appliedLists++
-    const { objects, revision } = result.value
-    events.handleChanged(objects, this.#copy.applyList(objects, revision), 'store')
+    const { objects, revision, era } = result.value
+    this.#recordEra(era, revision)
+    const previousRevision = this.#copy.revision
+    const removed = this.#copy.applyList(objects, revision)
+    logger.info('copy listed', { kind, era, revision, previousRevision, objects: objects.length, removed: removed.length })
+    events.handleChanged(objects, removed, 'store')
     this.#confirm(sentAt)
     return undefined
   }
@@ -151,6 +168,7 @@
     // A list was applied during the watch. These changes may be older; the next watch starts at the revision of the list.
     if (this.#appliedLists !== appliedLists) return undefined
     const { changes } = result.value
+    this.#recordEra(result.value.era, result.value.revision)
     this.#copy.applyChanges(changes, result.value.revision)
     if (changes.length > 0) {
       const latestByName = new Map(changes.map((change) => [change.object.name, change]))
@@ -185,7 +203,8 @@
     const { logger, kind, clock } = this.#options
     if (failure?.type === 'history-gone') {
       this.#isListDue = true
-      logger.warn('store has dropped the history that the watch needs', { kind })
+      this.#historyGaps++
+      logger.warn('store has dropped the history that the watch needs', { kind, revision: this.#copy.revision })
       return
     }
     if (failure === undefined) {
@@ -201,6 +220,20 @@
     this.#outageStartedAt ??= clock.readTime()
   }
 
+  #recordEra (era: number, revision: number): void {
+    const { logger, kind } = this.#options
+    if (this.#era !== undefined && era !== this.#era) logger.warn('store was restored from a copy', { kind, previousEra: this.#era, era, revision, copyRevision: this.#copy.revision })
+    this.#era = era
+  }
+
+  /** Another host's copy can differ for a moment. If it keeps differing, one of the two misses changes. */
+  #recordDifference (link: PeerLink, { revision, digest }: RelayedState): void {
+    const difference = `${link.record.host} ${revision} ${digest} ${this.#copy.revision}`
+    if (revision < 0 || difference === this.#loggedDifference) return
+    this.#loggedDifference = difference
+    this.#options.logger.info('copy of another host differs and is not newer', { kind: this.kind, peer: link.record.host, peerRevision: revision, revision: this.#copy.revision })
+  }
+
   #findRetryMs (failure: StoreFailure): number {
     if (failure.type === 'history-gone') return 0
     const { isSelfRelay, hostCount } = this.#options.relays
