Order the revisions of the store by its era, so that a restored store is followed

In the tests a primary that failed afterwards was never replaced, since its claim got a fencing token below an earlier one.

Cause: revisions were compared as if the store had one history. A copy kept the highest revision that it had seen. While the store's counter was below it, the relays got 410, listed and kept the old revision, in a loop, and hosts ignored the copies of others as not newer. Once the counter had passed it, a watch from it succeeded: it skipped what had been given the revisions in between and confirmed the outdated copy. The class of the fault: a number that is unique and increasing only within one history is used across histories.

Change: the adapter composes each revision of the store's era (Store-Era) and its counter, so that revisions, and with them fencing tokens, order all histories. A watch from an earlier era fails like one whose history is gone, a condition of an earlier era is a conflict without a call, and a conditional write that a restored store carried out counts as one without a response. Hosts exchange era and counter; a copy of another era neither confirms nor equals one. A list that is older than the copy no longer replaces its objects while the copy keeps the later revision: the same cause within an era.

Why it works: no comparison of two revisions can take a later state for an earlier one any more, whatever the counters are.

--- a/packages/checker/src/leases/lease-simulation.ts
+++ b/packages/checker/src/leases/lease-simulation.ts
@@ -89,7 +89,7 @@
   createStore (host: number): ObjectStore {
     const change = async (name: string, value: unknown, revision: number | undefined): Promise<StoreResult<StoreObject>> => await this.#change(host, name, value, revision)
     return {
-      list: async () => await this.#call(host, () => ({ type: 'ok' as const, value: { era: 0, revision: this.#revision, objects: [...this.#objects.values()] } })),
+      list: async () => await this.#call(host, () => ({ type: 'ok' as const, value: { revision: this.#revision, objects: [...this.#objects.values()] } })),
       watch: async () => ({ type: 'rejected', reason: 'not simulated' }),
       create: async (_kind, name, value) => await change(name, value, 0),
       replace: async (_kind, name, value, revision) => await change(name, value, revision),
--- a/packages/coordination/src/common/object-store.ts
+++ b/packages/coordination/src/common/object-store.ts
@@ -14,14 +14,16 @@
 
 export type StoreResult<Value> = { type: 'ok', value: Value } | StoreFailure
 
-/** Store of objects by kind and name, with conditional writes and watches. */
+/**
+ * Store of objects by kind and name, with conditional writes and watches. Its revisions are those of `storeRevision`, so they never
+ * go back, also when the store is restored from a copy.
+ */
 export interface ObjectStore {
-  /** `era` increases when the store is restored from an older copy of itself. */
-  list(kind: string): Promise<StoreResult<{ era: number, revision: number, objects: StoreObject[] }>>
-  /** Waits up to `waitMs` for changes after `revision`. */
-  watch(kind: string, revision: number, waitMs: number): Promise<StoreResult<{ era: number, revision: number, changes: StoreChange[] }>>
+  list(kind: string): Promise<StoreResult<{ revision: number, objects: StoreObject[] }>>
+  /** Waits up to `waitMs` for changes after `revision`. Fails with `history-gone` when `revision` is of an earlier era than the store. */
+  watch(kind: string, revision: number, waitMs: number): Promise<StoreResult<{ revision: number, changes: StoreChange[] }>>
   create(kind: string, name: string, value: unknown): Promise<StoreResult<StoreObject>>
-  /** When `revision` is given, replaces the object only if it still has this revision. */
+  /** When `revision` is given, replaces the object only if it still has this revision. A revision of an earlier era is a conflict. */
   replace(kind: string, name: string, value: unknown, revision?: number): Promise<StoreResult<StoreObject>>
   remove(kind: string, name: string, revision: number): Promise<StoreResult<null>>
   close(): void
--- a/packages/coordination/src/configuration/relayed-objects.ts
+++ b/packages/coordination/src/configuration/relayed-objects.ts
@@ -1,8 +1,10 @@
+import { storeRevision } from '@tanagerusher/state/common/store-revision'
 import type { StoreObject } from '../common/store-object.js'
 import { computeHash } from '../common/compute-hash.js'
 import type { RelayedState } from './relayed-state.js'
 
-interface Delta { revision: number, names: string[], changed: StoreObject[] }
+/** Changes of a copy, with the counters of their revisions, which are all of one era. */
+interface Delta { era: number, revision: number, names: string[], changed: StoreObject[] }
 
 export type CopyComparison =
   /** The copies are equal, so the confirmation of the other copy also holds for this one. */
@@ -38,11 +40,12 @@
   /** `storeRecoveredAt` is the time at which the store last became reachable again. */
   describeState (storeRecoveredAt: number | undefined, now: number): RelayedState {
     const returnAgeMs = storeRecoveredAt === undefined ? UNCONFIRMED_AGE_MS : now - storeRecoveredAt
-    return { revision: this.#revision, digest: this.#digest, ageMs: Math.min(UNCONFIRMED_AGE_MS, this.readConfirmationAgeMs(now)), returnAgeMs }
+    return { ...storeRevision.encode(this.#revision), digest: this.#digest, ageMs: Math.min(UNCONFIRMED_AGE_MS, this.readConfirmationAgeMs(now)), returnAgeMs }
   }
 
-  /** Replaces the copy by a complete list. Returns the names of removed objects. */
-  applyList (objects: readonly StoreObject[], revision: number): string[] {
+  /** Replaces the copy by a complete list. Returns the names of removed objects, or undefined when the list is older than the copy. */
+  applyList (objects: readonly StoreObject[], revision: number): string[] | undefined {
+    if (revision < this.#revision) return undefined
     const before = this.#objects
     this.#objects = new Map(objects.map((object) => [object.name, object]))
     this.#advance(revision)
@@ -71,32 +74,41 @@
   /** Compares with the state of another host's copy, received in response to a request sent at `sentAt`. */
   compare (other: RelayedState, sentAt: number): CopyComparison {
     if (other.revision < 0) return { type: 'nothing' }
-    if (other.digest === this.#digest && this.isLoaded) {
-      this.#revision = Math.max(this.#revision, other.revision)
+    const otherRevision = storeRevision.decode(other) ?? -1
+    const isSameEra = storeRevision.readEra(otherRevision) === storeRevision.readEra(this.#revision)
+    if (other.digest === this.#digest && isSameEra && this.isLoaded) {
+      this.#revision = Math.max(this.#revision, otherRevision)
       this.confirm(sentAt - other.ageMs, sentAt)
       return { type: 'confirmed' }
     }
-    return other.revision > this.#revision ? { type: 'newer' } : { type: 'nothing' }
+    return otherRevision > this.#revision ? { type: 'newer' } : { type: 'nothing' }
   }
 
-  /** Lists the changes after revision `since` together with the names of all objects, which show the removals. */
+  /** Lists the changes after revision `since` together with the names of all objects, which show the removals. All objects are newer than an earlier era. */
   listChanges (since: number): Delta {
-    return { revision: this.#revision, names: [...this.#objects.keys()], changed: this.objects.filter(({ revision }) => revision > since) }
+    const changed = this.objects.filter(({ revision }) => revision > since).map((object) => ({ ...object, revision: storeRevision.encode(object.revision).revision }))
+    return { ...storeRevision.encode(this.#revision), names: [...this.#objects.keys()], changed }
   }
 
   /** Applies the result of `listChanges` from another host; returns undefined when it is not newer than this copy. */
-  applyDelta ({ revision, names, changed }: Delta): { removed: string[] } | undefined {
-    if (revision <= this.#revision) return undefined
+  applyDelta (delta: Delta): { removed: string[], changed: StoreObject[] } | undefined {
+    const { era, names } = delta
+    const revision = storeRevision.decode(delta)
+    if (revision === undefined || revision <= this.#revision) return undefined
+    const changed = delta.changed.flatMap((object) => {
+      const objectRevision = storeRevision.decode({ era, revision: object.revision })
+      return objectRevision === undefined ? [] : [{ ...object, revision: objectRevision }]
+    })
     const present = new Set(names)
     const removed = [...this.#objects.keys()].filter((name) => !present.has(name))
     for (const name of removed) this.#objects.delete(name)
     for (const object of changed) this.#objects.set(object.name, object)
     this.#advance(revision)
-    return { removed }
+    return { removed, changed }
   }
 
   #advance (revision: number): void {
     this.#revision = Math.max(this.#revision, revision)
-    this.#digest = [...this.#objects.values()].reduce((sum, object) => (sum + computeHash(`${object.name} ${object.revision}`)) >>> 0, 1)
+    this.#digest = [...this.#objects.values()].reduce((sum, object) => (sum + computeHash(`${object.name} ${storeRevision.encode(object.revision).revision}`)) >>> 0, 1)
   }
 }
--- a/packages/coordination/src/configuration/relayed-state.ts
+++ b/packages/coordination/src/configuration/relayed-state.ts
@@ -1,8 +1,9 @@
 /** State that a host reports of its copy of one kind of objects. */
 export interface RelayedState {
-  /** Version of the store to which the copy corresponds; the copy may also match later versions. */
+  /** Era and counter of the store's revision to which the copy corresponds; the copy may also match later ones. -1 before the first list. */
+  era: number
   revision: number
-  /** Equal copies have equal digests. */
+  /** Equal copies of an era have equal digests. */
   digest: number
   /** Time since the request was sent whose response confirmed that the copy is current. */
   ageMs: number
--- a/packages/host/src/failover/claim-holder.ts
+++ b/packages/host/src/failover/claim-holder.ts
@@ -6,6 +6,7 @@
 import type { StoreObject } from '@tanagerusher/coordination/common/store-object'
 import { fleetObjects } from '@tanagerusher/coordination/membership/fleet-objects'
 import { parseFleetObjects } from '@tanagerusher/coordination/membership/parse-fleet-objects'
+import { storeRevision } from '@tanagerusher/state/common/store-revision'
 import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
 import type { Logger } from 'winston'
 import { delay } from '../program/delay.js'
@@ -46,7 +47,7 @@
     return new ClaimHolder(options)
   }
 
-  /** Fencing token: the revision of this host's last write, which is unique and increases with every write. */
+  /** Fencing token: the revision of this host's last write, which is unique and increases with every write, also after a restore of the store. */
   get revision (): number { return this.#held?.revision ?? 0 }
   get claim (): PromotionClaim | undefined { return this.#held?.claim }
   /** Hosts that the store listed in the last read. */
@@ -111,7 +112,9 @@
       logger.info('claim was not written', { group, phase, tries: tries + 1, ...result })
       // A write without a response may have taken effect, as may one of an earlier attempt, so the stored claim decides.
       const stored = await this.#read()
-      if (stored?.claim?.incarnation === self.incarnation && stored.claim.sequence === claim.sequence) return this.#recordWritten(claim, stored.revision, sentAt)
+      const isWritten = stored?.claim?.incarnation === self.incarnation && stored.claim.sequence === claim.sequence
+      // After a restore the condition may have held for another claim than the one that was read.
+      if (isWritten && (revision === 0 || storeRevision.readEra(stored.revision) === storeRevision.readEra(revision))) return this.#recordWritten(claim, stored.revision, sentAt)
       if (stored !== undefined && stored.revision !== revision) return false
       await delay(RETRY_DELAY_MS)
     }
--- a/packages/host/src/peer/register-peer-methods.ts
+++ b/packages/host/src/peer/register-peer-methods.ts
@@ -6,6 +6,7 @@
 import { leaderPosition } from '@tanagerusher/protocol/peer/leader-position'
 import { upstreamExecute, type UpstreamExecuteResult } from '@tanagerusher/protocol/peer/upstream-execute'
 import { upstreamProbe } from '@tanagerusher/protocol/peer/upstream-probe'
+import { storeRevision } from '@tanagerusher/state/common/store-revision'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
 import type { HostServices } from '../program/host-services.js'
@@ -18,9 +19,9 @@
     services.checkClocks()
     return { isLeaving: services.isLeaving(), copies: Object.fromEntries(services.watchers.map((watcher) => [watcher.kind, watcher.describe()])) }
   })
-  connection.addMethod(objectsFetch, async ({ kind, since }) => {
+  connection.addMethod(objectsFetch, async ({ kind, era, since }) => {
     const watcher = services.watchers.find((candidate) => candidate.kind === kind)
-    return watcher?.listChanges(since) ?? { revision: -1, names: [], changed: [] }
+    return watcher?.listChanges(storeRevision.decode({ era, revision: since }) ?? -1) ?? { era: 0, revision: -1, names: [], changed: [] }
   })
   connection.addMethod(budgetExchange, async ({ deposits, wants }) => ({ grants: budget.handleExchange(deposits, wants) }))
   connection.addMethod(upstreamExecute, async (params): Promise<UpstreamExecuteResult> => {
@@ -38,8 +39,10 @@
     const record = findRecord(databaseId)
     return { isReachable: record !== undefined && await registry.find(record).probe() }
   })
-  connection.addMethod(promotionNotice, async ({ group, claim, revision, quiesceMs }) => {
-    await services.claimHandler.release(group, promotionClaim.parse(claim), revision, quiesceMs)
+  connection.addMethod(promotionNotice, async ({ group, claim, era, revision, quiesceMs }) => {
+    const claimRevision = storeRevision.decode({ era, revision })
+    if (claimRevision === undefined) throw new RangeError(`revision ${revision} of era ${era} is out of range`)
+    await services.claimHandler.release(group, promotionClaim.parse(claim), claimRevision, quiesceMs)
     return {}
   })
   void Promise.all([connection.remoteHello, connection.closed]).then(
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -3,7 +3,9 @@
 import { computeStoreRetryDelay } from '@tanagerusher/coordination/configuration/compute-store-retry-delay'
 import { RelayedObjects } from '@tanagerusher/coordination/configuration/relayed-objects'
 import type { RelayedState } from '@tanagerusher/coordination/configuration/relayed-state'
+import type { StoreObject } from '@tanagerusher/coordination/common/store-object'
 import { objectsFetch } from '@tanagerusher/protocol/peer/objects-fetch'
+import { storeRevision } from '@tanagerusher/state/common/store-revision'
 import type { Logger } from 'winston'
 import type { z } from 'zod'
 import type { PeerLink } from '../peer/peer-link.js'
@@ -43,8 +45,6 @@
 export class ObjectWatcher {
   readonly #options: CreateOptions
   readonly #copy = RelayedObjects.create()
-  /** Era of the store in its last response. */
-  #era: number | undefined
   /** Revision and digest of the last copy of another host that differed without being newer, to log each only once. */
   #loggedDifference = ''
   #isListDue = true
@@ -70,8 +70,9 @@
   get appliedLists (): number { return this.#appliedLists }
   /** Number of watches that failed because the store did not have the history for them. */
   get historyGaps (): number { return this.#historyGaps }
-  get era (): number { return this.#era ?? 0 }
-  get revision (): number { return this.#copy.revision }
+  get era (): number { return storeRevision.encode(this.#copy.revision).era }
+  /** The store's own counter, which goes back when a new era begins. */
+  get revision (): number { return storeRevision.encode(this.#copy.revision).revision }
 
   readConfirmationAgeMs (now: number): number { return this.#copy.readConfirmationAgeMs(now) }
 
@@ -134,20 +135,19 @@
   }
 
   async #list (): Promise<StoreFailure | undefined> {
-    const { store, kind, clock, logger, events } = this.#options
+    const { store, kind, clock, logger } = this.#options
     const sentAt = clock.readTime()
     const result = await store.list(kind)
     if (result.type !== 'ok') return result
     if (this.#isClosed) return undefined
     this.#isListDue = false
     this.#appliedLists++
-    const { objects, revision, era } = result.value
-    this.#recordEra(era, revision)
+    const { objects, revision } = result.value
     const previousRevision = this.#copy.revision
     const removed = this.#copy.applyList(objects, revision)
-    logger.info('copy listed', { kind, era, revision, previousRevision, objects: objects.length, removed: removed.length })
-    events.handleChanged(objects, removed, 'store')
-    this.#confirm(sentAt)
+    logger.info('copy listed', { kind, ...storeRevision.encode(revision), previousRevision: storeRevision.encode(previousRevision).revision, objects: objects.length, removed: removed?.length })
+    if (removed !== undefined) this.#handleChanged(objects, removed, 'store', previousRevision)
+    if (storeRevision.readEra(revision) === storeRevision.readEra(this.#copy.revision)) this.#confirm(sentAt)
     return undefined
   }
 
@@ -168,7 +168,6 @@
     // A list was applied during the watch. These changes may be older; the next watch starts at the revision of the list.
     if (this.#appliedLists !== appliedLists) return undefined
     const { changes } = result.value
-    this.#recordEra(result.value.era, result.value.revision)
     this.#copy.applyChanges(changes, result.value.revision)
     if (changes.length > 0) {
       const latestByName = new Map(changes.map((change) => [change.object.name, change]))
@@ -182,11 +181,13 @@
   async #fetch (link: PeerLink): Promise<void> {
     if (this.#isFetching) return
     this.#isFetching = true
-    const { kind, events, logger } = this.#options
+    const { kind, logger } = this.#options
     try {
-      const delta = await link.request(objectsFetch, { kind, since: this.#copy.revision }, FETCH_TIMEOUT_MS)
+      const { era, revision: since } = storeRevision.encode(this.#copy.revision)
+      const delta = await link.request(objectsFetch, { kind, era, since }, FETCH_TIMEOUT_MS)
+      const previousRevision = this.#copy.revision
       const applied = this.#copy.applyDelta(delta)
-      if (applied !== undefined && !this.#isClosed) events.handleChanged(delta.changed, applied.removed, link.record.host)
+      if (applied !== undefined && !this.#isClosed) this.#handleChanged(applied.changed, applied.removed, link.record.host, previousRevision)
     } catch (error) {
       logger.warn('changes were not fetched', { kind, peer: link.record.host, reason: String((error as Error).message) })
     } finally {
@@ -204,7 +205,7 @@
     if (failure?.type === 'history-gone') {
       this.#isListDue = true
       this.#historyGaps++
-      logger.warn('store has dropped the history that the watch needs', { kind, revision: this.#copy.revision })
+      logger.warn('store has dropped the history that the watch needs', { kind, era: this.era, revision: this.revision })
       return
     }
     if (failure === undefined) {
@@ -220,18 +221,22 @@
     this.#outageStartedAt ??= clock.readTime()
   }
 
-  #recordEra (era: number, revision: number): void {
-    const { logger, kind } = this.#options
-    if (this.#era !== undefined && era !== this.#era) logger.warn('store was restored from a copy', { kind, previousEra: this.#era, era, revision, copyRevision: this.#copy.revision })
-    this.#era = era
+  #handleChanged (changed: readonly StoreObject[], removed: readonly string[], source: string, previousRevision: number): void {
+    const { logger, kind, clock, events } = this.#options
+    const isRestored = previousRevision >= 0 && storeRevision.readEra(previousRevision) < storeRevision.readEra(this.#copy.revision)
+    if (isRestored) {
+      logger.warn('store was restored from a copy', { kind, source, era: this.era, revision: this.revision, previous: storeRevision.encode(previousRevision) })
+      this.#recoveredAt = clock.readTime()
+    }
+    events.handleChanged(changed, removed, source)
   }
 
   /** Another host's copy can differ for a moment. If it keeps differing, one of the two misses changes. */
-  #recordDifference (link: PeerLink, { revision, digest }: RelayedState): void {
-    const difference = `${link.record.host} ${revision} ${digest} ${this.#copy.revision}`
+  #recordDifference (link: PeerLink, { era, revision, digest }: RelayedState): void {
+    const difference = `${link.record.host} ${era} ${revision} ${digest} ${this.#copy.revision}`
     if (revision < 0 || difference === this.#loggedDifference) return
     this.#loggedDifference = difference
-    this.#options.logger.info('copy of another host differs and is not newer', { kind: this.kind, peer: link.record.host, peerRevision: revision, revision: this.#copy.revision })
+    this.#options.logger.info('copy of another host differs and is not newer', { kind: this.kind, peer: link.record.host, peerEra: era, peerRevision: revision, era: this.era, revision: this.revision })
   }
 
   #findRetryMs (failure: StoreFailure): number {
--- a/packages/host/test/object-watcher.test.ts
+++ b/packages/host/test/object-watcher.test.ts
@@ -5,7 +5,7 @@
 import { delay } from '../src/program/delay.js'
 import { ObjectWatcher } from '../src/store/object-watcher.js'
 
-type Watched = StoreResult<{ era: number, revision: number, changes: StoreChange[] }>
+type Watched = StoreResult<{ revision: number, changes: StoreChange[] }>
 
 const KIND = 'kind'
 const UNUSED = async (): Promise<never> => { throw new Error('not called') }
@@ -15,8 +15,8 @@
   revision = 10
   readonly watches: Array<(result: Watched) => void> = []
 
-  async list (): Promise<StoreResult<{ era: number, revision: number, objects: Array<{ name: string, revision: number, value: unknown }> }>> {
-    return { type: 'ok', value: { era: 0, revision: this.revision, objects: [{ name: 'a', revision: this.revision, value: `v${this.revision}` }] } }
+  async list (): Promise<StoreResult<{ revision: number, objects: Array<{ name: string, revision: number, value: unknown }> }>> {
+    return { type: 'ok', value: { revision: this.revision, objects: [{ name: 'a', revision: this.revision, value: `v${this.revision}` }] } }
   }
 
   async watch (): Promise<Watched> {
@@ -53,7 +53,7 @@
   watcher.invalidateConfirmation()
   await delay(20)
   assert.equal(confirmations.length, countBefore + 1)
-  store.watches[0]?.({ type: 'ok', value: { era: 0, revision: 11, changes: [{ object: { name: 'a', revision: 11, value: 'v11' }, isRemoved: false }] } })
+  store.watches[0]?.({ type: 'ok', value: { revision: 11, changes: [{ object: { name: 'a', revision: 11, value: 'v11' }, isRemoved: false }] } })
   await delay(100)
   assert.deepEqual(values, ['v10', 'v20'])
   assert.equal(watcher.listChanges(0).changed[0]?.value, 'v20')
--- a/packages/protocol/src/peer/promotion-notice.ts
+++ b/packages/protocol/src/peer/promotion-notice.ts
@@ -8,8 +8,9 @@
   method: 'promotion.notice',
   params: z.object({
     group: z.string(),
-    /** Claim object of the group in the store; `revision` is its version. */
+    /** Claim object of the group in the store; `era` and `revision` are its version. */
     claim: z.unknown(),
+    era: z.number().int(),
     revision: z.number().int(),
     /** Time that requests in flight and open transactions have to end. */
     quiesceMs: z.number().nonnegative()
