Do not take a store that lacks the catalogue in force as its confirmation

What callers would see: a key that was taken away shortly before the store was lost works longer than keyFreshnessMs.

Cause: any answer of the store confirmed the catalogue in force, also one that held an older catalogue. Such a store was restored and may lack later catalogues that this host never received.

Change: a confirmation counts only while the store's catalogue is at least as new as the one in force. The log line says so; it replaces `catalogue is not newer`, which was written for each repeated list of the same version.

Test: `a store that lacks the catalogue in force does not confirm it` failed before (callers were served 6 s later) and passes.

--- a/packages/host/src/store/catalogue-task.ts
+++ b/packages/host/src/store/catalogue-task.ts
@@ -31,6 +31,8 @@
   readonly replica: CatalogueReplica
   readonly watcher: ObjectWatcher
   readonly #options: CreateOptions
+  /** Version of the catalogue that the store holds according to the copy. */
+  #storedVersion = -1
 
   private constructor (options: CreateOptions) {
     const { store, location, keyFreshnessMs, relays, clock, logger } = options
@@ -47,7 +49,7 @@
         handleChanged: (changed, _removed, source) => {
           for (const { name, value } of changed) if (name === location.name) this.#apply(value, source)
         },
-        handleConfirmed: (confirmedAt, requestedAt) => { if (this.replica.catalogue !== undefined) this.replica.confirm(this.replica.version, confirmedAt, requestedAt) }
+        handleConfirmed: (confirmedAt, requestedAt) => { this.#confirm(confirmedAt, requestedAt) }
       }
     })
   }
@@ -75,13 +77,20 @@
     this.watcher.close()
   }
 
+  #confirm (confirmedAt: number, requestedAt: number): void {
+    // A restored store that lacks the catalogue in force may lack later ones too, so its responses prove nothing until it is written again.
+    if (this.replica.catalogue === undefined || this.#storedVersion < this.replica.version) return
+    this.replica.confirm(this.replica.version, confirmedAt, requestedAt)
+  }
+
   #apply (value: unknown, source: string): void {
     const { logger, decode, handleApplied } = this.#options
     const catalogue = decode(value, (reason) => { logger.error('catalogue cannot be decoded', { source, reason }) })
     if (catalogue === undefined) return
+    this.#storedVersion = catalogue.version
     const { version } = this.replica
     if (!this.replica.apply(catalogue)) {
-      logger.info('catalogue is not newer', { source, version: catalogue.version, inForce: version })
+      if (catalogue.version < version) logger.warn('store holds an older catalogue than the one in force and does not confirm it', { source, version: catalogue.version, inForce: version })
       return
     }
     logger.info('catalogue applied', { source, version: catalogue.version, entries: catalogue.entries.size, organisations: catalogue.organisations.size })
