Write host records and claims again that a restored store has lost

What callers would see: after a promotion that the store lost, hosts took the replaced primary for the leader again. Where the databases do not enforce who leads, no write was served for 6 s and more in the test; everywhere, a later failure of the primary would not have been acted upon ("another database leads by now"). A host that had restarted in the lost time stayed registered with its earlier incarnation, so others could not reach it.

Cause: the hosts took their own acknowledged writes for durable and the store's older objects for newer, since their revision is of a later era. Only a removal of the own record was noticed.

Change: a claim that has ended with a lower sequence, and no higher term, than the one that a host knows is from before the restore (isClaimOutdated): it is not applied, the relays write the known one again, and a promoter builds on the known one. After a restore each host compares its record and writes it again. The sequence decides because it never decreases in one history; a claim in progress or with a higher term may have been written after the restore and stands.

--- a/packages/coordination/src/configuration/relayed-objects.ts
+++ b/packages/coordination/src/configuration/relayed-objects.ts
@@ -35,6 +35,8 @@
   get isLoaded (): boolean { return this.#revision >= 0 }
   get objects (): StoreObject[] { return [...this.#objects.values()] }
 
+  find (name: string): StoreObject | undefined { return this.#objects.get(name) }
+
   readConfirmationAgeMs (now: number): number { return now - this.#confirmedAt }
 
   /** `storeRecoveredAt` is the time at which the store last became reachable again. */
--- a/packages/coordination/src/failover/database-enforced-leases.ts
+++ b/packages/coordination/src/failover/database-enforced-leases.ts
@@ -23,6 +23,10 @@
     return this.#claims.get(group)
   }
 
+  listClaims (): Array<{ group: string, claim: PromotionClaim }> {
+    return [...this.#claims].map(([group, { claim }]) => ({ group, claim }))
+  }
+
   confirm (): void {}
 
   invalidateConfirmation (): void {}
--- a/packages/coordination/src/failover/expiring-leases.ts
+++ b/packages/coordination/src/failover/expiring-leases.ts
@@ -47,6 +47,10 @@
     return claim === undefined ? undefined : { claim, revision }
   }
 
+  listClaims (): Array<{ group: string, claim: PromotionClaim }> {
+    return [...this.#groups].flatMap(([group, { claim }]) => claim === undefined ? [] : [{ group, claim }])
+  }
+
   confirm (confirmedAt: number, requestedAt = confirmedAt): void {
     if (requestedAt > this.#invalidatedAt) this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt)
   }
--- a/packages/coordination/src/failover/primary-leases.ts
+++ b/packages/coordination/src/failover/primary-leases.ts
@@ -23,6 +23,8 @@
   /** Applies a claim received from the store or another host. Returns false and ignores the claim unless its revision is newer. */
   applyClaim(group: string, claim: PromotionClaim, revision: number): boolean
   findClaim(group: string): { claim: PromotionClaim, revision: number } | undefined
+  /** The last applied claims of all groups. */
+  listClaims(): Array<{ group: string, claim: PromotionClaim }>
   /**
    * Records that all claims that existed at `confirmedAt` on this host's monotonic clock have been applied. The request for them was
    * sent at `requestedAt`.
--- a/packages/coordination/test/failover/expiring-leases.test.ts
+++ b/packages/coordination/test/failover/expiring-leases.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, test } from 'node:test'
 import { CallPermit } from '../../src/failover/call-permit.js'
+import { isClaimOutdated } from '../../src/failover/is-claim-outdated.js'
 import { ExpiringLeases } from '../../src/failover/expiring-leases.js'
 import { InFlightPromotionCalls } from '../../src/failover/in-flight-promotion-calls.js'
 import type { PromotionClaim } from '../../src/failover/promotion-claim.js'
@@ -86,6 +87,21 @@
   })
 })
 
+describe('a claim in a store that was restored from a copy', () => {
+  const known: PromotionClaim = { ...buildClaim('ended', 'new'), sequence: 6, term: 3 }
+
+  test('is outdated when it is missing or an earlier one of the same history', () => {
+    assert.equal(isClaimOutdated(undefined, known), true)
+    assert.equal(isClaimOutdated({ ...buildClaim('ended', 'old'), sequence: 3, term: 2 }, known), true)
+    assert.equal(isClaimOutdated(known, known), false)
+  })
+
+  test('is not outdated when a host that did not receive the lost one claims or has promoted since', () => {
+    assert.equal(isClaimOutdated({ ...buildClaim('claimed', 'old'), sequence: 4, term: 2 }, known), false)
+    assert.equal(isClaimOutdated({ ...buildClaim('ended', 'other'), sequence: 5, term: 4 }, known), false)
+  })
+})
+
 describe('promotion guards', () => {
   test('LeaseBarrier opens when all hosts have released their leases, or when the leases have expired', () => {
     const barrier = LeaseBarrier.create({ holders: ['a', 'b'], claimedAt: 1000, limitMs: LIMIT_MS })
--- a/packages/host/src/failover/claim-handler.ts
+++ b/packages/host/src/failover/claim-handler.ts
@@ -1,3 +1,4 @@
+import { isClaimOutdated } from '@tanagerusher/coordination/failover/is-claim-outdated'
 import type { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
 import type { PrimaryLeases } from '@tanagerusher/coordination/failover/primary-leases'
 import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
@@ -23,9 +24,14 @@
     return new ClaimHandler(options)
   }
 
-  /** Applies a claim that was received from the store or from another host. */
+  /** Applies a claim that was received from the store or from another host, unless it is from before a restore of the store. */
   apply (group: string, claim: PromotionClaim, revision: number): void {
     const { leases, leaders, logger } = this.#options
+    const known = leases.findClaim(group)
+    if (known !== undefined && isClaimOutdated(claim, known.claim)) {
+      logger.info('claim of a group is older than the known one', { group, revision, sequence: claim.sequence, knownSequence: known.claim.sequence })
+      return
+    }
     if (leases.applyClaim(group, claim, revision)) {
       logger.info('claim of a group', { group, revision, phase: claim.phase, holder: claim.host, leader: claim.leader, term: claim.term })
     }
--- a/packages/host/src/failover/claim-holder.ts
+++ b/packages/host/src/failover/claim-holder.ts
@@ -1,4 +1,5 @@
 import type { ClaimTakeoverPolicy } from '@tanagerusher/coordination/failover/claim-takeover-policy'
+import { isClaimOutdated } from '@tanagerusher/coordination/failover/is-claim-outdated'
 import type { InFlightPromotionCalls } from '@tanagerusher/coordination/failover/in-flight-promotion-calls'
 import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
@@ -17,6 +18,8 @@
   store: ObjectStore
   takeoverPolicy: ClaimTakeoverPolicy
   inFlightCalls: InFlightPromotionCalls | undefined
+  /** Newest claim of the group that this host received. */
+  findKnownClaim: () => PromotionClaim | undefined
   clock: Clock
   logger: Logger
 }
@@ -89,8 +92,9 @@
     return false
   }
 
+  /** Reads the hosts and the claim, or the known claim if a restore of the store lost it, with the revision for the next write. */
   async #read (): Promise<{ claim: PromotionClaim | undefined, revision: number } | undefined> {
-    const { store, group, logger } = this.#options
+    const { store, group, findKnownClaim, logger } = this.#options
     const list = await store.list(fleetObjects.kind)
     if (list.type !== 'ok') {
       logger.warn('promotion cannot be claimed', { group, ...list })
@@ -99,7 +103,9 @@
     const { hosts, claims } = parseFleetObjects(list.value.objects)
     this.#hosts = hosts.map(({ record }) => record)
     const object = list.value.objects.find(({ name }) => name === fleetObjects.formatGroupName(group))
-    return { claim: claims.find((claim) => claim.group === group)?.claim, revision: object?.revision ?? 0 }
+    const stored = claims.find((claim) => claim.group === group)?.claim
+    const known = findKnownClaim()
+    return { claim: known !== undefined && isClaimOutdated(stored, known) ? known : stored, revision: object?.revision ?? 0 }
   }
 
   async #write ({ phase, leader, successor, term }: ClaimChange, revision: number, sequence: number): Promise<boolean> {
--- a/packages/host/src/failover/failover-task.ts
+++ b/packages/host/src/failover/failover-task.ts
@@ -187,7 +187,7 @@
       return
     }
     const syncReplicas = findCatalogue()?.groups.get(group)?.syncReplicas ?? 0
-    const claimHolder = ClaimHolder.create({ group, self, store: adapter.store, takeoverPolicy: this.#takeoverPolicy, inFlightCalls: this.#inFlightCalls, clock, logger })
+    const claimHolder = ClaimHolder.create({ group, self, store: adapter.store, takeoverPolicy: this.#takeoverPolicy, inFlightCalls: this.#inFlightCalls, findKnownClaim: () => leases.findClaim(group)?.claim, clock, logger })
     const releaseCollector = LeaseReleaseCollector.create({ group, self, links, limitMs: leases.limitMs, claimHandler, clock, logger })
     const outcome = await PromotionRun.create({ group, leader, isPlanned, candidates, syncReplicas, self, adapter, registry, claimHolder, releaseCollector, inFlightCalls: this.#inFlightCalls, countSuspensions, clock, logger }).run()
     if (claimHolder.claim !== undefined) await claimHandler.release(group, claimHolder.claim, claimHolder.revision, 0)
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -14,6 +14,7 @@
 import { OperationRunner } from '../caller/operation-runner.js'
 import { FailoverTask } from '../failover/failover-task.js'
 import { ClaimHandler } from '../failover/claim-handler.js'
+import { ClaimRestorer } from '../failover/claim-restorer.js'
 import { PeerLinks } from '../peer/peer-links.js'
 import { registerPeerMethods } from '../peer/register-peer-methods.js'
 import type { HostSettings } from '../settings/host-settings.js'
@@ -118,12 +119,14 @@
     watchMs: leases.limitMs === undefined ? FLEET_WATCH_MS : LEASE_WATCH_MS,
     handleClaim: (group, claim, revision) => { claimHandler.apply(group, claim, revision) },
     handleConfirmed: (confirmedAt, requestedAt) => { if (!areLeasesReleased) leases.confirm(confirmedAt, requestedAt) },
+    handleRestored: () => { void claimRestorer.run() },
     handleHosts: (records) => {
       router.updateHosts(records)
       relays.updateHosts(records)
       budget.updateHosts(records)
     }
   })
+  const claimRestorer: ClaimRestorer = ClaimRestorer.create({ store: adapter.store, leases, relays, findStored: (name) => fleet.watcher.findObject(name), logger })
   const failover = FailoverTask.create({
     self, adapter, leaders, links, registry, router, listRecords, findCatalogue: () => catalogue.replica.catalogue, leases, claimHandler, countSuspensions: () => clock.countSuspensions(), clock, logger
   })
@@ -169,6 +172,7 @@
   const closeAll = (): void => {
     clearInterval(housekeeping)
     failover.close()
+    claimRestorer.close()
     budget.close()
     catalogue.close()
     upstreams.close()
--- a/packages/host/src/store/fleet-task.ts
+++ b/packages/host/src/store/fleet-task.ts
@@ -4,7 +4,8 @@
 import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import { fleetObjects } from '@tanagerusher/coordination/membership/fleet-objects'
 import { parseFleetObjects } from '@tanagerusher/coordination/membership/parse-fleet-objects'
-import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
+import { storeRevision } from '@tanagerusher/state/common/store-revision'
+import { hostRecordSchema, type HostRecord } from '@tanagerusher/state/upstream/host-record'
 import type { Logger } from 'winston'
 import { delay } from '../program/delay.js'
 import { ObjectWatcher } from './object-watcher.js'
@@ -23,6 +24,8 @@
   handleClaim: (group: string, claim: PromotionClaim, revision: number) => void
   /** All claims that existed at `confirmedAt` have been applied, and this host's record was in the store at that time. */
   handleConfirmed: (confirmedAt: number, requestedAt: number) => void
+  /** The store was restored from a copy and may have lost claims. */
+  handleRestored: () => void
 }
 
 const RETRY_DELAY_MS = 300
@@ -39,6 +42,7 @@
   /** Time at which the write of this host's record succeeded; undefined while the record may be missing. */
   #registeredAt: number | undefined
   #isLeaving = false
+  #isRegistering = false
 
   private constructor (options: CreateOptions) {
     const { store, relays, clock, logger, self, watchMs } = options
@@ -53,7 +57,8 @@
       logger,
       events: {
         handleChanged: (changed, removed) => { this.#handleChanged(changed, removed) },
-        handleConfirmed: (confirmedAt, requestedAt) => { if (this.#registeredAt !== undefined && confirmedAt >= this.#registeredAt) options.handleConfirmed(confirmedAt, requestedAt) }
+        handleConfirmed: (confirmedAt, requestedAt) => { if (this.#registeredAt !== undefined && confirmedAt >= this.#registeredAt) options.handleConfirmed(confirmedAt, requestedAt) },
+        handleRestored: () => { this.#handleRestored() }
       }
     })
   }
@@ -92,12 +97,21 @@
   }
 
   async #register (): Promise<void> {
+    if (this.#isRegistering) return
+    this.#isRegistering = true
+    this.#registeredAt = undefined
+    await this.#writeRecord()
+    this.#isRegistering = false
+  }
+
+  async #writeRecord (): Promise<void> {
     const { store, self, clock, logger } = this.#options
     const name = fleetObjects.formatHostName(self.host)
     for (let tries = 0; tries < MAXIMUM_REGISTER_ATTEMPTS && !this.#isLeaving; tries++) {
       const created = await store.create(fleetObjects.kind, name, self)
       const result = created.type === 'conflict' ? await store.replace(fleetObjects.kind, name, self) : created
-      if (result.type === 'ok') {
+      // A write from before a restore of the store is lost.
+      if (result.type === 'ok' && storeRevision.readEra(result.value.revision) >= this.watcher.era) {
         this.#records.set(self.host, { record: self, revision: result.value.revision })
         this.#registeredAt = clock.readTime()
         logger.info('joined the fleet', { revision: result.value.revision })
@@ -114,10 +128,7 @@
       const host = fleetObjects.parseHostName(name)
       if (host === undefined) continue
       if (host !== self.host) this.#records.delete(host)
-      else if (!this.#isLeaving) {
-        this.#registeredAt = undefined
-        void this.#register()
-      }
+      else if (!this.#isLeaving) void this.#register()
     }
     const { hosts, claims, unreadable } = parseFleetObjects(changed)
     if (unreadable.length > 0) logger.warn('fleet objects cannot be parsed', { names: unreadable })
@@ -126,6 +137,19 @@
     handleHosts([...this.#records.values()].map(({ record }) => record).filter(({ isLeaving }) => isLeaving !== true))
   }
 
+  /** Writes this host's record again if the restored store lacks it or holds an earlier one. */
+  #handleRestored (): void {
+    const { self, logger, handleRestored } = this.#options
+    const stored = hostRecordSchema.safeParse(this.watcher.findObject(fleetObjects.formatHostName(self.host))?.value).data
+    const isCurrent = stored?.incarnation === self.incarnation && (stored.isLeaving === true) === this.#isLeaving
+    if (!isCurrent) {
+      logger.warn('the store has lost the record of this host', { isLeaving: this.#isLeaving })
+      if (!this.#isLeaving) void this.#register()
+      else if (stored !== undefined) void this.leave()
+    }
+    handleRestored()
+  }
+
   #applyRecord (record: HostRecord, revision: number): void {
     const { self } = this.#options
     if (record.host === self.host && record.incarnation !== self.incarnation) return
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -86,6 +86,8 @@
     return this.#outageStartedAt === undefined ? this.#recoveredAt : this.#options.clock.readTime()
   }
 
+  findObject (name: string): StoreObject | undefined { return this.#copy.find(name) }
+
   describe (): RelayedState {
     return this.#copy.describeState(this.findRecoveryTime(), this.#options.clock.readTime())
   }
@@ -229,6 +231,7 @@
       this.#recoveredAt = clock.readTime()
     }
     events.handleChanged(changed, removed, source)
+    if (isRestored) events.handleRestored?.()
   }
 
   /** Another host's copy can differ for a moment. If it keeps differing, one of the two misses changes. */
