Let a promoter wait for leases whose holders a restored store may have lost

What callers would see: where the databases do not enforce who leads, a read or write at an old primary after another one was promoted (STALE, lost commits), if a host had registered shortly before the store was lost and is cut off when a promotion follows the restore. Found by reading; not seen in a run.

Cause: a promoter waits for the hosts that the store lists, and took the list of a restored store for complete.

Change: for the duration of a lease after a host noticed the restore, its promotions wait for the leases to expire instead of opening early. Elsewhere nothing changes: where the platform compares tokens nobody is waited for.

Test: `LeaseBarrier waits for the leases to expire while the store may have lost the records of holders`; without the change the barrier opens at once.

--- a/packages/checker/src/leases/lease-host.ts
+++ b/packages/checker/src/leases/lease-host.ts
@@ -217,6 +217,7 @@
       findCatalogue: () => catalogue as never,
       leases: leases as never,
       claimHandler: this.#claims,
+      findRestoreTime: () => undefined, // the simulated store is not restored
       countSuspensions: () => {
         this.#checkClocks()
         return this.#suspensions
--- a/packages/coordination/src/failover/lease-barrier.ts
+++ b/packages/coordination/src/failover/lease-barrier.ts
@@ -3,6 +3,8 @@
   holders: Iterable<string>
   /** When the response to the write of the claim was received. */
   claimedAt: number
+  /** Whether hosts may hold a lease that are not among `holders`, because the store lost their records. Their leases expire. */
+  areHoldersIncomplete?: boolean
   /** Longest time in ms for which a lease is valid without confirmation; undefined when leases need not be waited for. */
   limitMs: number | undefined
 }
@@ -22,9 +24,11 @@
   readonly #unreleasedHolders: Set<string>
   readonly #expiresAt: number
   readonly #isNeeded: boolean
+  readonly #areHoldersIncomplete: boolean
 
-  private constructor ({ holders, claimedAt, limitMs }: CreateOptions) {
+  private constructor ({ holders, areHoldersIncomplete = false, claimedAt, limitMs }: CreateOptions) {
     this.#unreleasedHolders = new Set(holders)
+    this.#areHoldersIncomplete = areHoldersIncomplete
     this.#isNeeded = limitMs !== undefined
     this.#expiresAt = claimedAt + (limitMs ?? 0) + EXPIRY_MARGIN_MS
   }
@@ -41,6 +45,7 @@
   }
 
   isOpen (now: number): boolean {
-    return !this.#isNeeded || this.#unreleasedHolders.size === 0 || now >= this.#expiresAt
+    const isReleased = this.#unreleasedHolders.size === 0 && !this.#areHoldersIncomplete
+    return !this.#isNeeded || isReleased || now >= this.#expiresAt
   }
 }
--- a/packages/coordination/test/failover/expiring-leases.test.ts
+++ b/packages/coordination/test/failover/expiring-leases.test.ts
@@ -114,6 +114,13 @@
     assert.equal(barrier.isOpen(1100), true)
   })
 
+  test('LeaseBarrier waits for the leases to expire while the store may have lost the records of holders', () => {
+    const barrier = LeaseBarrier.create({ holders: ['a'], areHoldersIncomplete: true, claimedAt: 1000, limitMs: LIMIT_MS })
+    barrier.recordRelease('a')
+    assert.equal(barrier.isOpen(1000 + LIMIT_MS), false)
+    assert.equal(barrier.isOpen(1000 + LIMIT_MS + 400), true)
+  })
+
   test('LeaseBarrier is open immediately where the databases reject work when they do not lead', () => {
     assert.equal(LeaseBarrier.create({ holders: ['a'], claimedAt: 1000, limitMs: undefined }).isOpen(1000), true)
   })
--- a/packages/host/src/failover/failover-task.ts
+++ b/packages/host/src/failover/failover-task.ts
@@ -29,6 +29,8 @@
   findCatalogue: () => Catalogue | undefined
   leases: PrimaryLeases
   claimHandler: ClaimHandler
+  /** Time at which this host noticed that the era of the revision began by a restore of the store; undefined when it has seen none. */
+  findRestoreTime: (revision: number) => number | undefined
   countSuspensions: () => number
   clock: Clock
   logger: Logger
@@ -179,7 +181,7 @@
   }
 
   async #promote (group: string, leader: UpstreamRecord | undefined, candidates: readonly UpstreamRecord[], isPlanned: boolean): Promise<void> {
-    const { leaders, links, registry, findCatalogue, self, adapter, leases, claimHandler, countSuspensions, clock, logger } = this.#options
+    const { leaders, links, registry, findCatalogue, self, adapter, leases, claimHandler, findRestoreTime, countSuspensions, clock, logger } = this.#options
     if (candidates.length === 0) return
     if (leader !== undefined && this.#inFlightCalls?.findInFlightDatabase(group, clock.readTime()) === leader.id) {
       logger.info('promotion waits', { group, leader: leader.id, reason: 'an earlier promotion call for the current leader may still take effect' })
@@ -188,7 +190,7 @@
     }
     const syncReplicas = findCatalogue()?.groups.get(group)?.syncReplicas ?? 0
     const claimHolder = ClaimHolder.create({ group, self, store: adapter.store, takeoverPolicy: this.#takeoverPolicy, inFlightCalls: this.#inFlightCalls, findKnownClaim: () => leases.findClaim(group)?.claim, clock, logger })
-    const releaseCollector = LeaseReleaseCollector.create({ group, self, links, limitMs: leases.limitMs, claimHandler, clock, logger })
+    const releaseCollector = LeaseReleaseCollector.create({ group, self, links, limitMs: leases.limitMs, findRestoreTime, claimHandler, clock, logger })
     const outcome = await PromotionRun.create({ group, leader, isPlanned, candidates, syncReplicas, self, adapter, registry, claimHolder, releaseCollector, inFlightCalls: this.#inFlightCalls, countSuspensions, clock, logger }).run()
     if (claimHolder.claim !== undefined) await claimHandler.release(group, claimHolder.claim, claimHolder.revision, 0)
     if (outcome.type === 'given-up') {
--- a/packages/host/src/failover/lease-release-collector.ts
+++ b/packages/host/src/failover/lease-release-collector.ts
@@ -15,6 +15,8 @@
   links: PeerLinks
   /** Duration of the primary leases in ms; undefined where no lease needs to be waited for. */
   limitMs: number | undefined
+  /** Time at which the store was last restored from a copy as this host noticed; undefined when it was not. */
+  findRestoreTime: (revision: number) => number | undefined
   /** Releases this host's own lease. */
   claimHandler: ClaimHandler
   clock: Clock
@@ -52,8 +54,12 @@
 
   /** Returns false when another host took the claim over in the meantime. */
   async collect ({ claim, revision, hosts, claimedAt, quiesceMs, renew }: Collection): Promise<boolean> {
-    const { group, self, limitMs, claimHandler, clock, logger } = this.#options
-    const barrier = LeaseBarrier.create({ holders: [self.incarnation, ...hosts.map(({ incarnation }) => incarnation)], claimedAt, limitMs })
+    const { group, self, limitMs, findRestoreTime, claimHandler, clock, logger } = this.#options
+    const holders = [self.incarnation, ...hosts.map(({ incarnation }) => incarnation)]
+    // A host that has not registered again since a restore may still use a lease that was confirmed before it.
+    const restoredAt = findRestoreTime(revision)
+    const areHoldersIncomplete = restoredAt !== undefined && claimedAt - restoredAt < (limitMs ?? 0)
+    const barrier = LeaseBarrier.create({ holders, areHoldersIncomplete, claimedAt, limitMs })
     if (barrier.isOpen(clock.readTime())) return true
     void claimHandler.release(group, claim, revision, quiesceMs).then(() => { barrier.recordRelease(self.incarnation) })
     for (const host of hosts) if (host.host !== self.host) void this.#requestRelease(host, { claim, revision, quiesceMs }, barrier)
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -128,7 +128,7 @@
   })
   const claimRestorer: ClaimRestorer = ClaimRestorer.create({ store: adapter.store, leases, relays, findStored: (name) => fleet.watcher.findObject(name), logger })
   const failover = FailoverTask.create({
-    self, adapter, leaders, links, registry, router, listRecords, findCatalogue: () => catalogue.replica.catalogue, leases, claimHandler, countSuspensions: () => clock.countSuspensions(), clock, logger
+    self, adapter, leaders, links, registry, router, listRecords, findCatalogue: () => catalogue.replica.catalogue, leases, claimHandler, findRestoreTime: (revision) => fleet.watcher.findRestoreTime(revision), countSuspensions: () => clock.countSuspensions(), clock, logger
   })
   let isLeaving = false
   let areLeasesReleased = false
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -56,6 +56,7 @@
   #isRefreshing = false
   #outageStartedAt: number | undefined
   #recoveredAt: number | undefined
+  #restoredAt: number | undefined
 
   private constructor (options: CreateOptions) {
     this.#options = options
@@ -88,6 +89,14 @@
 
   findObject (name: string): StoreObject | undefined { return this.#copy.find(name) }
 
+  /**
+   * Time at which this host noticed that the era of `revision` began by a restore of the store: now when the copy is still of an earlier
+   * era, undefined when the host has seen no restore.
+   */
+  findRestoreTime (revision: number): number | undefined {
+    return storeRevision.readEra(revision) > this.era ? this.#options.clock.readTime() : this.#restoredAt
+  }
+
   describe (): RelayedState {
     return this.#copy.describeState(this.findRecoveryTime(), this.#options.clock.readTime())
   }
@@ -229,6 +238,7 @@
     if (isRestored) {
       logger.warn('store was restored from a copy', { kind, source, era: this.era, revision: this.revision, previous: storeRevision.encode(previousRevision) })
       this.#recoveredAt = clock.readTime()
+      this.#restoredAt = this.#recoveredAt
     }
     events.handleChanged(changed, removed, source)
     if (isRestored) events.handleRestored?.()
