Keep a leaving database leaving while a restored store holds its earlier entry

Cause: an entry of a restored store replaced the newer one that the host knew, since its revision is of a later era.

Change: the directory remembers for a minute which lives of databases were leaving, also after their entries were removed. The first entry of the same life in a new era counts as leaving until the entry is written in that era. An entry that only lapsed is not affected, so a live primary is not replaced.

Tests: two in upstream-directory.test.ts; the first fails without the change.

--- a/packages/coordination/src/membership/upstream-directory.ts
+++ b/packages/coordination/src/membership/upstream-directory.ts
@@ -1,24 +1,42 @@
+import { storeRevision } from '@tanagerusher/state/common/store-revision'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 
 /** A running database registers again within this time after the store becomes reachable, if its entry expired during the outage. */
 const REREGISTRATION_MS = 2500
 
+/** Longer than a copy is old from which the store is restored, and than a database runs on after it has left. */
+const DEPARTURE_RETENTION_MS = 60_000
+
+interface Departure {
+  startedAt: number
+  /** Revision of its last entry. */
+  revision: number
+  leftAt: number
+  /** Revision of the entry that a restored store holds from before. */
+  restoredRevision?: number
+}
+
 interface ExpiredEntry { record: UpstreamRecord, retainedUntil: number }
 
 /**
  * Databases that are registered in the store. A removal applies immediately, unless the store was unreachable shortly before: then
  * the entry may have expired only because its database could not renew it, and is retained until the database has had time to
- * register again.
+ * register again. A database that was leaving, or left after that, stays leaving while a restored store holds its earlier entry, until
+ * the entry is written in the new era of the store.
  */
 export class UpstreamDirectory {
   readonly #records = new Map<string, UpstreamRecord>()
   readonly #expired = new Map<string, ExpiredEntry>()
+  /** Databases that were leaving or had left, by id. */
+  readonly #departures = new Map<string, Departure>()
 
   static create (): UpstreamDirectory {
     return new UpstreamDirectory()
   }
 
-  applyRecord (record: UpstreamRecord): void {
+  applyRecord (received: UpstreamRecord, now: number): void {
+    const record = this.#isFromBeforeDeparture(received, now) ? { ...received, isLeaving: true } : received
+    this.#recordDeparture(received, now)
     this.#records.set(record.id, record)
     this.#expired.delete(record.id)
   }
@@ -26,7 +44,9 @@
   remove (id: string, storeRecoveredAt: number | undefined, now: number): void {
     const record = this.#records.get(id)
     this.#records.delete(id)
-    if (record !== undefined) this.#addExpired(record, storeRecoveredAt, now)
+    if (record === undefined) return
+    this.#recordDeparture(record, now)
+    this.#addExpired(record, storeRecoveredAt, now)
   }
 
   find (id: string, now: number): UpstreamRecord | undefined {
@@ -43,6 +63,22 @@
     return [...this.#records.values(), ...[...this.#expired.values()].map(({ record }) => record)]
   }
 
+  #recordDeparture ({ id, isLeaving, startedAt, revision }: UpstreamRecord, now: number): void {
+    if (!isLeaving) return
+    for (const [left, { leftAt }] of this.#departures) if (now - leftAt > DEPARTURE_RETENTION_MS) this.#departures.delete(left)
+    this.#departures.set(id, { startedAt, revision, leftAt: now })
+  }
+
+  /** Whether the first entry of a new era shows the same life of a database before it left. A later entry was written in that era. */
+  #isFromBeforeDeparture ({ id, startedAt, revision }: UpstreamRecord, now: number): boolean {
+    const departure = this.#departures.get(id)
+    if (departure === undefined || departure.startedAt !== startedAt || now - departure.leftAt > DEPARTURE_RETENTION_MS) return false
+    const isRestored = storeRevision.readEra(revision) > storeRevision.readEra(departure.revision)
+    if (!isRestored) return false
+    departure.restoredRevision ??= revision
+    return revision === departure.restoredRevision
+  }
+
   #addExpired (record: UpstreamRecord, storeRecoveredAt: number | undefined, now: number): void {
     if (record.isLeaving || storeRecoveredAt === undefined) return
     const retainedUntil = storeRecoveredAt + REREGISTRATION_MS
--- a/packages/coordination/test/membership/upstream-directory.test.ts
+++ b/packages/coordination/test/membership/upstream-directory.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
+import { storeRevision } from '@tanagerusher/state/common/store-revision'
 import { listOwnerCandidates } from '../../src/membership/list-owner-candidates.js'
 import { UpstreamDirectory } from '../../src/membership/upstream-directory.js'
 
@@ -9,7 +10,7 @@
 
 test('an entry that expired while the store was unreachable is retained only until its database has had time to register again', () => {
   const directory = UpstreamDirectory.create()
-  directory.applyRecord(record)
+  directory.applyRecord(record, 0)
   directory.remove('d1', 10_000, 10_100)
   assert.equal(directory.find('d1', 12_000)?.id, 'd1')
   assert.equal(directory.find('d1', 12_600), undefined)
@@ -18,10 +19,10 @@
 
 test('an entry removed while the store is reachable disappears immediately, because its address may soon be reused', () => {
   const directory = UpstreamDirectory.create()
-  directory.applyRecord(record)
+  directory.applyRecord(record, 0)
   directory.remove('d1', undefined, 100)
   assert.equal(directory.find('d1', 100), undefined)
-  directory.applyRecord(record)
+  directory.applyRecord(record, 0)
   directory.remove('d1', 10_000, 60_000)
   assert.equal(directory.find('d1', 60_000), undefined)
 })
@@ -35,3 +36,26 @@
   assert.deepEqual(order.map(({ dataCentre }) => dataCentre), ['a', 'a', 'b', 'c'])
   assert.deepEqual(listOwnerCandidates(record, [...hosts].reverse(), regions), order)
 })
+
+test('a database that was leaving does not become usable again because a restored store holds its earlier entry', () => {
+  const decodeRevision = (era: number, revision: number): number => storeRevision.decode({ era, revision }) as number
+  for (const wasRemoved of [false, true]) {
+    const directory = UpstreamDirectory.create()
+    directory.applyRecord({ ...record, revision: decodeRevision(1, 10) }, 0)
+    directory.applyRecord({ ...record, isLeaving: true, revision: decodeRevision(1, 15) }, 1000)
+    if (wasRemoved) directory.remove('d1', undefined, 2000)
+    for (const now of [3000, 3100]) {
+      directory.applyRecord({ ...record, revision: decodeRevision(2, 10) }, now)
+      assert.equal(directory.find('d1', now)?.isLeaving, true)
+    }
+    directory.applyRecord({ ...record, revision: decodeRevision(2, 11) }, 4000)
+    assert.equal(directory.find('d1', 4000)?.isLeaving, false)
+  }
+})
+
+test('a database that restarted under its id is used, although its earlier life was leaving before a restore of the store', () => {
+  const directory = UpstreamDirectory.create()
+  directory.applyRecord({ ...record, isLeaving: true, revision: 15 }, 0)
+  directory.applyRecord({ ...record, startedAt: 1, revision: storeRevision.decode({ era: 1, revision: 10 }) as number }, 1000)
+  assert.equal(directory.find('d1', 1000)?.isLeaving, false)
+})
--- a/packages/host/src/store/upstreams-task.ts
+++ b/packages/host/src/store/upstreams-task.ts
@@ -61,7 +61,7 @@
     for (const object of changed) {
       const record = this.#decode(object)
       if (record === undefined) this.directory.remove(object.name, undefined, clock.readTime())
-      else this.directory.applyRecord(record)
+      else this.directory.applyRecord(record, clock.readTime())
       logger.info('directory changed', { database: object.name, revision: object.revision, group: record?.group, isLeaving: record?.isLeaving, claimsPrimary: record?.claimsPrimary, source })
     }
   }
