Ignore a watch response that is older than changes fetched meanwhile

What callers would see: a change of the configuration or of the directory that a relay already had goes back, or is missed until the object changes again, while the relay confirms its copy.

Cause: while a relay's watch waits, it may fetch later changes from the other relay. The watch's older changes then overwrote them, and the copy kept the higher revision, so the next watch did not return them. Only lists were guarded.

Change: a response is ignored when a list or another host's changes were applied during the watch; the next one starts at the copy's revision.

Test: `a watch response that is older than changes fetched from another host does not revert them` failed before (values v10, v20, v11) and passes.

--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -49,6 +49,8 @@
   #loggedDifference = ''
   #isListDue = true
   #appliedLists = 0
+  /** Number of lists and of other hosts' changes that were applied. */
+  #appliedUpdates = 0
   #historyGaps = 0
   #failures = 0
   #isClosed = false
@@ -157,7 +159,7 @@
     const previousRevision = this.#copy.revision
     const removed = this.#copy.applyList(objects, revision)
     logger.info('copy listed', { kind, ...storeRevision.encode(revision), previousRevision: storeRevision.encode(previousRevision).revision, objects: objects.length, removed: removed?.length })
-    if (removed !== undefined) this.#handleChanged(objects, removed, 'store', previousRevision)
+    if (removed !== undefined) this.#handleUpdate(objects, removed, 'store', previousRevision)
     if (storeRevision.readEra(revision) === storeRevision.readEra(this.#copy.revision)) this.#confirm(sentAt)
     return undefined
   }
@@ -172,12 +174,12 @@
   async #watch (revision: number): Promise<StoreFailure | undefined> {
     const { store, kind, waitMs, clock, events } = this.#options
     const sentAt = clock.readTime()
-    const appliedLists = this.#appliedLists
+    const appliedUpdates = this.#appliedUpdates
     const result = await store.watch(kind, revision, waitMs)
     if (result.type !== 'ok') return result
     if (this.#isClosed) return undefined
-    // A list was applied during the watch. These changes may be older; the next watch starts at the revision of the list.
-    if (this.#appliedLists !== appliedLists) return undefined
+    // A list or another host's changes were applied during the watch. These changes may be older; the next watch starts at the copy's revision.
+    if (this.#appliedUpdates !== appliedUpdates) return undefined
     const { changes } = result.value
     this.#copy.applyChanges(changes, result.value.revision)
     if (changes.length > 0) {
@@ -198,7 +200,7 @@
       const delta = await link.request(objectsFetch, { kind, era, since }, FETCH_TIMEOUT_MS)
       const previousRevision = this.#copy.revision
       const applied = this.#copy.applyDelta(delta)
-      if (applied !== undefined && !this.#isClosed) this.#handleChanged(applied.changed, applied.removed, link.record.host, previousRevision)
+      if (applied !== undefined && !this.#isClosed) this.#handleUpdate(applied.changed, applied.removed, link.record.host, previousRevision)
     } catch (error) {
       logger.warn('changes were not fetched', { kind, peer: link.record.host, reason: String((error as Error).message) })
     } finally {
@@ -232,7 +234,9 @@
     this.#outageStartedAt ??= clock.readTime()
   }
 
-  #handleChanged (changed: readonly StoreObject[], removed: readonly string[], source: string, previousRevision: number): void {
+  /** Handles a list or another host's changes after they were applied to the copy. */
+  #handleUpdate (changed: readonly StoreObject[], removed: readonly string[], source: string, previousRevision: number): void {
+    this.#appliedUpdates++
     const { logger, kind, clock, events } = this.#options
     const isRestored = previousRevision >= 0 && storeRevision.readEra(previousRevision) < storeRevision.readEra(this.#copy.revision)
     if (isRestored) {
