--- a/packages/coordination/src/configuration/relayed-objects.ts
+++ b/packages/coordination/src/configuration/relayed-objects.ts
@@ -86,7 +86,10 @@
     return otherRevision > this.#revision ? { type: 'newer' } : { type: 'nothing' }
   }
 
-  /** Lists the changes after revision `since` together with the names of all objects, which show the removals. All objects are newer than an earlier era. */
+  /**
+   * Lists the changes after revision `since` together with the names of all objects, which show the removals. When `since` is of an earlier
+   * era, these are all objects.
+   */
   listChanges (since: number): Delta {
     const changed = this.objects.filter(({ revision }) => revision > since).map((object) => ({ ...object, revision: storeRevision.encode(object.revision).revision }))
     return { ...storeRevision.encode(this.#revision), names: [...this.#objects.keys()], changed }
--- a/packages/host/src/failover/lease-release-collector.ts
+++ b/packages/host/src/failover/lease-release-collector.ts
@@ -15,7 +15,7 @@
   links: PeerLinks
   /** Duration of the primary leases in ms; undefined where no lease needs to be waited for. */
   limitMs: number | undefined
-  /** Time at which the store was last restored from a copy as this host noticed; undefined when it was not. */
+  /** Time at which this host noticed that the era of the revision began by a restore of the store; undefined when it has seen none. */
   findRestoreTime: (revision: number) => number | undefined
   /** Releases this host's own lease. */
   claimHandler: ClaimHandler
