Extend no lease, and accept no claim, without the newest claim of a group

What callers would see: after a restore of the store a group without service for more than 20 s, or hosts that use a replaced primary.

Cause, in the change that writes lost claims again: (1) a relay that had been cut off wrote an earlier claim in progress, and hosts that knew the end of a later promotion applied it, since claims in progress counted as newer. (2) A claim that a host received after it had noticed the restore was not looked for in the store. (3) Leases were confirmed by a store that lacked the newest claim.

Change: a claim with a lower sequence and no higher term is outdated in every phase but `called`, whose call may take effect. A host that is asked to release its lease for an outdated claim refuses, so its promoter waits for the leases and loses the claim to the one that is written back. Each confirmation compares the copy with the known claims: where one is missing, leases are not extended and the claim is written again, by the relays first and by all hosts after 1.2 s. This replaces the event of the restore as the trigger.

--- a/packages/checker/src/leases/lease-host.ts
+++ b/packages/checker/src/leases/lease-host.ts
@@ -1,14 +1,17 @@
 import { SuspensionDetector } from '@tanagerusher/coordination/clock/suspension-detector'
 import type { PlatformAdapter } from '@tanagerusher/coordination/common/platform-adapter'
+import type { StoreObject } from '@tanagerusher/coordination/common/store-object'
 import { ExpiringLeases } from '@tanagerusher/coordination/failover/expiring-leases'
 import { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
 import { promotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import { UpstreamHealth } from '@tanagerusher/coordination/health/upstream-health'
 import { parseFleetObjects } from '@tanagerusher/coordination/membership/parse-fleet-objects'
 import { FailoverTask } from '@tanagerusher/host/failover/failover-task'
+import { ClaimRestorer } from '@tanagerusher/host/failover/claim-restorer'
 import { ClaimHandler } from '@tanagerusher/host/failover/claim-handler'
 import { delay } from '@tanagerusher/host/program/delay'
 import { PrimaryGuard } from '@tanagerusher/host/upstream/primary-guard'
+import { storeRevision } from '@tanagerusher/state/common/store-revision'
 import type { StatementResponse } from '@tanagerusher/state/upstream/statement-response'
 import type { UpstreamCommand } from '@tanagerusher/state/upstream/upstream-command'
 import type { UpstreamStatus } from '@tanagerusher/state/upstream/upstream-status'
@@ -23,10 +26,12 @@
   findHost: (index: number) => LeaseHost
 }
 
-interface Notice { group: string, claim: unknown, revision: number, quiesceMs: number }
+interface Notice { group: string, claim: unknown, era: number, revision: number, quiesceMs: number }
 
 const GROUP = 'g'
 const LEASE_LIMIT_MS = 3000
+/** Hosts that write lost claims again. */
+const RELAY_COUNT = 2
 const CONFIRMATION_INTERVAL_MS = 600
 const STATEMENT_TIMEOUT_MS = 760
 const PROBE_TIMEOUT_MS = 400
@@ -47,6 +52,11 @@
   #suspendedMs = 0
   #suspensions = 0
   #confirmedAt = -Infinity
+  /** Claims in the last list of the store. */
+  #stored = new Map<string, StoreObject>()
+  #listRevision = 0
+  #restoredAt: number | undefined
+  readonly #claimRestorer: ClaimRestorer
   #invalidatedAt = -Infinity
 
   private constructor (options: CreateOptions) {
@@ -56,6 +66,14 @@
     const quiesce = async (_group: string, timeLeftMs: number): Promise<void> => {
       await Promise.all([...this.#guards.values()].map(async (guard) => { await guard.quiesce(() => true, timeLeftMs) }))
     }
+    this.#claimRestorer = ClaimRestorer.create({
+      store: options.simulation.createStore(options.index),
+      leases: this.#leases,
+      relays: { isSelfRelay: options.index < RELAY_COUNT } as never,
+      findStored: (name) => this.#stored.get(name),
+      readCopyRevision: () => this.#listRevision,
+      logger: logger as never
+    })
     this.#claims = ClaimHandler.create({ leases: this.#leases, leaders: this.#leaders, quiesce, logger: logger as never })
     this.#failover = this.#createFailover(logger)
   }
@@ -74,6 +92,7 @@
 
   close (): void {
     this.#failover.close()
+    this.#claimRestorer.close()
   }
 
   recordSuspension (durationMs: number): void { this.#suspendedMs += durationMs }
@@ -159,31 +178,45 @@
       const requestedAt = this.#readTime()
       const list = await store.list('')
       this.#checkClocks()
-      if (list.type === 'ok') {
-        for (const { group, claim, revision } of parseFleetObjects(list.value.objects).claims) this.#claims.apply(group, claim, revision)
+      if (list.type === 'ok' && list.value.revision >= this.#listRevision) {
+        this.#applyStored(list.value.objects, list.value.revision)
         this.#confirm(switches.countFromResponse === true ? this.#readTime() : requestedAt, requestedAt)
       } else {
         const other = (index + 1 + simulation.time.queue.chooseNumber(0, simulation.hosts.length - 2)) % simulation.hosts.length
-        const response = await simulation.send(index, () => this.#isHostReachable(other) && !simulation.hasFault(`suspend ${other}`), () => findHost(other).describeClaim(), PROBE_TIMEOUT_MS)
-        if (response?.known !== undefined) this.#claims.apply(GROUP, response.known.claim, response.known.revision)
-        if (response !== undefined) this.#confirm(switches.countFromResponse === true ? this.#readTime() : requestedAt - response.ageMs, requestedAt)
+        const response = await simulation.send(index, () => this.#isHostReachable(other) && !simulation.hasFault(`suspend ${other}`), () => findHost(other).describeCopy(), PROBE_TIMEOUT_MS)
+        if (response !== undefined && response.listRevision > this.#listRevision) this.#applyStored(response.stored, response.listRevision)
+        const isSameEra = response !== undefined && storeRevision.readEra(response.listRevision) === storeRevision.readEra(this.#listRevision)
+        if (isSameEra) this.#confirm(switches.countFromResponse === true ? this.#readTime() : requestedAt - response.ageMs, requestedAt)
       }
       await delay(CONFIRMATION_INTERVAL_MS)
     }
   }
 
+  #applyStored (objects: readonly StoreObject[], listRevision: number): void {
+    const isRestored = storeRevision.readEra(listRevision) > storeRevision.readEra(this.#listRevision)
+    if (isRestored) this.#restoredAt = this.#readTime()
+    this.#listRevision = listRevision
+    this.#stored = new Map(objects.map((object) => [object.name, object]))
+    for (const { group, claim, revision } of parseFleetObjects(objects).claims) this.#claims.apply(group, claim, revision)
+  }
+
   #confirm (confirmedAt: number, requestedAt: number): void {
+    if (this.#options.switches.skipClaimRestore !== true && !this.#claimRestorer.hasAllClaims()) {
+      void this.#claimRestorer.run()
+      return
+    }
     if (requestedAt > this.#invalidatedAt) this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt)
     this.#leases.confirm(confirmedAt, requestedAt)
   }
 
-  describeClaim (): { known: ReturnType<ExpiringLeases['findClaim']>, ageMs: number } {
+  describeCopy (): { stored: StoreObject[], listRevision: number, ageMs: number } {
     this.#checkClocks()
-    return { known: this.#leases.findClaim(GROUP), ageMs: this.#readTime() - this.#confirmedAt }
+    return { stored: [...this.#stored.values()], listRevision: this.#listRevision, ageMs: this.#readTime() - this.#confirmedAt }
   }
 
-  async handleNotice ({ group, claim, revision, quiesceMs }: Notice): Promise<object> {
-    await this.#claims.release(group, promotionClaim.parse(claim), revision, quiesceMs)
+  async handleNotice ({ group, claim, era, revision, quiesceMs }: Notice): Promise<object> {
+    const isReleased = await this.#claims.release(group, promotionClaim.parse(claim), storeRevision.decode({ era, revision }) as number, quiesceMs)
+    if (!isReleased) throw new Error('a newer claim of the group is known')
     return {}
   }
 
@@ -217,7 +250,7 @@
       findCatalogue: () => catalogue as never,
       leases: leases as never,
       claimHandler: this.#claims,
-      findRestoreTime: () => undefined, // the simulated store is not restored
+      findRestoreTime: (revision) => storeRevision.readEra(revision) > storeRevision.readEra(this.#listRevision) ? this.#readTime() : this.#restoredAt,
       countSuspensions: () => {
         this.#checkClocks()
         return this.#suspensions
@@ -251,13 +284,14 @@
           if (!this.#isHostReachable(other)) return
           const target = findHost(other)
           const handled = method === 'promotion.notice' ? target.handleNotice(params) : target.probe(params.databaseId).then((isReachable) => ({ isReachable }))
-          void handled.then((answer) => {
+          const respond = (finish: () => void): void => {
             if (!this.#isHostReachable(other)) return
             simulation.time.add(simulation.time.queue.chooseNumber(1, 20), () => {
               timer.isCancelled = true
-              resolve(answer)
+              finish()
             }, index)
-          })
+          }
+          handled.then((answer) => { respond(() => { resolve(answer) }) }, () => { respond(() => { reject(new Error('rejected')) }) })
         }, other)
       })
     }
--- a/packages/checker/src/leases/lease-simulation.ts
+++ b/packages/checker/src/leases/lease-simulation.ts
@@ -3,6 +3,7 @@
 import type { PromotionRequest } from '@tanagerusher/coordination/common/promotion-request'
 import type { StoreObject } from '@tanagerusher/coordination/common/store-object'
 import { fleetObjects } from '@tanagerusher/coordination/membership/fleet-objects'
+import { storeRevision } from '@tanagerusher/state/common/store-revision'
 import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import type { Violation } from '../common/violation.js'
@@ -35,8 +36,10 @@
   readonly acknowledged = new Set<string>()
   primary = this.databases[0] as FakeDatabase
   promotions = 0
+  /** Their revisions are the store's own counters. */
   #objects = new Map<string, StoreObject>()
   #revision = 100
+  #era = 0
   #fencingTokens: Array<{ token: number, host: string }> = []
 
   private constructor (seed: number, hosts: number) {
@@ -87,9 +90,17 @@
   }
 
   createStore (host: number): ObjectStore {
-    const change = async (name: string, value: unknown, revision: number | undefined): Promise<StoreResult<StoreObject>> => await this.#change(host, name, value, revision)
+    let knownEra = 0
+    const change = async (name: string, value: unknown, revision: number | undefined): Promise<StoreResult<StoreObject>> => {
+      if (revision !== undefined && revision > 0 && storeRevision.readEra(revision) < knownEra) return { type: 'conflict' }
+      return await this.#change(host, name, value, revision)
+    }
     return {
-      list: async () => await this.#call(host, () => ({ type: 'ok' as const, value: { revision: this.#revision, objects: [...this.#objects.values()] } })),
+      list: async () => {
+        const list = await this.#call(host, () => ({ type: 'ok' as const, value: { revision: this.#composeRevision(this.#revision), objects: [...this.#objects.values()].map((object) => this.#compose(object)) } }))
+        if (list.type === 'ok') knownEra = Math.max(knownEra, storeRevision.readEra(list.value.revision))
+        return list
+      },
       watch: async () => ({ type: 'rejected', reason: 'not simulated' }),
       create: async (_kind, name, value) => await change(name, value, 0),
       replace: async (_kind, name, value, revision) => await change(name, value, revision),
@@ -98,6 +109,17 @@
     }
   }
 
+  createStoreCopy (): { objects: Map<string, StoreObject>, revision: number } {
+    return { objects: new Map(this.#objects), revision: this.#revision }
+  }
+
+  /** Begins a new era of the store with the objects and the counter of the copy. */
+  restoreStore ({ objects, revision }: ReturnType<LeaseSimulation['createStoreCopy']>): void {
+    this.#objects = new Map(objects)
+    this.#revision = revision
+    this.#era++
+  }
+
   createPromoter (host: number): Promoter {
     return {
       promote: async (order, timeoutMs) => {
@@ -177,7 +199,10 @@
   async #change (host: number, name: string, value: unknown, revision: number | undefined): Promise<StoreResult<StoreObject>> {
     const apply = (): StoreResult<StoreObject> => {
       const known = this.#objects.get(name)?.revision ?? 0
-      return revision !== undefined && known !== revision ? { type: 'conflict' } : { type: 'ok', value: this.#put(name, value) }
+      if (revision !== undefined && known !== storeRevision.encode(revision).revision) return { type: 'conflict' }
+      const written = this.#put(name, value)
+      // A condition of an earlier era may hold for a counter that was given out again.
+      return revision === undefined || revision === 0 || storeRevision.readEra(revision) === this.#era ? { type: 'ok', value: written } : { type: 'no-answer', reason: 'restored' }
     }
     if (!this.hasFault('store loses') || !this.#chooseBoolean(LOST_PERCENT)) return await this.#call(host, apply)
     if (!this.hasFault(`store ${host}`)) this.time.add(this.time.queue.chooseNumber(0, MAXIMUM_LATE_EFFECT_MS), () => { apply() })
@@ -188,7 +213,15 @@
   #put (name: string, value: unknown): StoreObject {
     const object = { name, revision: ++this.#revision, value }
     this.#objects.set(name, object)
-    return object
+    return this.#compose(object)
+  }
+
+  #compose (object: StoreObject): StoreObject {
+    return { ...object, revision: this.#composeRevision(object.revision) }
+  }
+
+  #composeRevision (revision: number): number {
+    return storeRevision.decode({ era: this.#era, revision }) as number
   }
 
   #chooseBoolean (percentTrue: number): boolean { return this.time.queue.chooseNumber(0, 99) < percentTrue }
--- a/packages/checker/src/leases/lease-step.ts
+++ b/packages/checker/src/leases/lease-step.ts
@@ -4,9 +4,10 @@
 const database = fc.integer({ min: 0, max: 2 })
 const delayMs = fc.oneof(fc.integer({ min: 0, max: 60 }), fc.integer({ min: 60, max: 900 }))
 const forMs = fc.integer({ min: 200, max: 7000 })
+/** Share of the restores among the steps, in percent. */
+const RESTORE_WEIGHT = 4
 
-/** One step of a schedule: a caller's request or a fault. `delayMs` is the virtual time before the step. */
-export const leaseStepArbitrary = fc.oneof(
+const stepArbitrary = fc.oneof(
   { weight: 20, arbitrary: fc.record({ type: fc.constant('write' as const), delayMs, host }) },
   { weight: 16, arbitrary: fc.record({ type: fc.constant('read' as const), delayMs, host }) },
   { weight: 3, arbitrary: fc.record({ type: fc.constant('release-primary' as const), delayMs }) },
@@ -25,4 +26,13 @@
   { weight: 2, arbitrary: fc.record({ type: fc.constant('endpoint-loses-answers' as const), delayMs, forMs }) }
 )
 
-export type LeaseStep = typeof leaseStepArbitrary extends fc.Arbitrary<infer Step> ? Step : never
+// The store is copied; after `copyAgeMs` it is away for `forMs`, then it comes back from the copy.
+const restoreArbitrary = fc.record({ type: fc.constant('store-restored' as const), delayMs, copyAgeMs: fc.integer({ min: 100, max: 9000 }), forMs: fc.integer({ min: 0, max: 2000 }) })
+
+/** One step of a schedule: a caller's request or a fault. `delayMs` is the virtual time before the step. */
+export type LeaseStep = (typeof stepArbitrary | typeof restoreArbitrary) extends fc.Arbitrary<infer Step> ? Step : never
+
+/** Restores are optional, so that the schedules of earlier seeds stay as they are. */
+export function createLeaseStepArbitrary (hasRestores: boolean): fc.Arbitrary<LeaseStep> {
+  return hasRestores ? fc.oneof({ weight: 100 - RESTORE_WEIGHT, arbitrary: stepArbitrary }, { weight: RESTORE_WEIGHT, arbitrary: restoreArbitrary }) : stepArbitrary
+}
--- a/packages/checker/src/leases/lease-switches.ts
+++ b/packages/checker/src/leases/lease-switches.ts
@@ -12,4 +12,6 @@
   countFromResponse?: boolean
   /** The promotion endpoint is called without confirming the claim in the store first. */
   skipConfirmation?: boolean
+  /** Claims that a restored store has lost are not written again, and its confirmations count without them. */
+  skipClaimRestore?: boolean
 }
--- a/packages/checker/src/leases/run-lease-schedule.ts
+++ b/packages/checker/src/leases/run-lease-schedule.ts
@@ -58,6 +58,12 @@
       startFault(`suspend ${step.host}`, step.forMs)
       simulation.time.add(step.forMs, () => { hosts[step.host]?.recordSuspension(step.forMs) })
       return
+    case 'store-restored': {
+      const copy = simulation.createStoreCopy()
+      simulation.time.add(step.copyAgeMs, () => { for (const host of hosts.keys()) startFault(`store ${host}`, step.forMs) })
+      simulation.time.add(step.copyAgeMs + step.forMs, () => { simulation.restoreStore(copy) })
+      return
+    }
     case 'store-slow': return startFault('store slow', step.forMs)
     case 'store-loses-answers': return startFault('store loses', step.forMs)
     case 'endpoint-loses-answers': return startFault('endpoint loses', step.forMs)
--- a/packages/coordination/src/failover/database-enforced-leases.ts
+++ b/packages/coordination/src/failover/database-enforced-leases.ts
@@ -23,8 +23,8 @@
     return this.#claims.get(group)
   }
 
-  listClaims (): Array<{ group: string, claim: PromotionClaim }> {
-    return [...this.#claims].map(([group, { claim }]) => ({ group, claim }))
+  listClaims (): Array<{ group: string, claim: PromotionClaim, revision: number }> {
+    return [...this.#claims].map(([group, known]) => ({ group, ...known }))
   }
 
   confirm (): void {}
--- a/packages/coordination/src/failover/expiring-leases.ts
+++ b/packages/coordination/src/failover/expiring-leases.ts
@@ -47,8 +47,8 @@
     return claim === undefined ? undefined : { claim, revision }
   }
 
-  listClaims (): Array<{ group: string, claim: PromotionClaim }> {
-    return [...this.#groups].flatMap(([group, { claim }]) => claim === undefined ? [] : [{ group, claim }])
+  listClaims (): Array<{ group: string, claim: PromotionClaim, revision: number }> {
+    return [...this.#groups].flatMap(([group, { claim, revision }]) => claim === undefined ? [] : [{ group, claim, revision }])
   }
 
   confirm (confirmedAt: number, requestedAt = confirmedAt): void {
--- a/packages/coordination/src/failover/primary-leases.ts
+++ b/packages/coordination/src/failover/primary-leases.ts
@@ -24,7 +24,7 @@
   applyClaim(group: string, claim: PromotionClaim, revision: number): boolean
   findClaim(group: string): { claim: PromotionClaim, revision: number } | undefined
   /** The last applied claims of all groups. */
-  listClaims(): Array<{ group: string, claim: PromotionClaim }>
+  listClaims(): Array<{ group: string, claim: PromotionClaim, revision: number }>
   /**
    * Records that all claims that existed at `confirmedAt` on this host's monotonic clock have been applied. The request for them was
    * sent at `requestedAt`.
--- a/packages/coordination/test/failover/expiring-leases.test.ts
+++ b/packages/coordination/test/failover/expiring-leases.test.ts
@@ -90,14 +90,15 @@
 describe('a claim in a store that was restored from a copy', () => {
   const known: PromotionClaim = { ...buildClaim('ended', 'new'), sequence: 6, term: 3 }
 
-  test('is outdated when it is missing or an earlier one of the same history', () => {
+  test('is outdated when it is missing, or written without knowledge of the known one', () => {
     assert.equal(isClaimOutdated(undefined, known), true)
     assert.equal(isClaimOutdated({ ...buildClaim('ended', 'old'), sequence: 3, term: 2 }, known), true)
+    assert.equal(isClaimOutdated({ ...buildClaim('claimed', 'old'), sequence: 4, term: 2 }, known), true)
     assert.equal(isClaimOutdated(known, known), false)
   })
 
-  test('is not outdated when a host that did not receive the lost one claims or has promoted since', () => {
-    assert.equal(isClaimOutdated({ ...buildClaim('claimed', 'old'), sequence: 4, term: 2 }, known), false)
+  test('is not outdated when its holder has called the endpoint or has promoted since', () => {
+    assert.equal(isClaimOutdated({ ...buildClaim('called', 'old'), sequence: 4, term: 2 }, known), false)
     assert.equal(isClaimOutdated({ ...buildClaim('ended', 'other'), sequence: 5, term: 4 }, known), false)
   })
 })
--- a/packages/host/src/failover/claim-restorer.ts
+++ b/packages/host/src/failover/claim-restorer.ts
@@ -14,12 +14,14 @@
   relays: RelaySelector
   /** Returns an object of the fleet from the copy of the store. */
   findStored: (name: string) => StoreObject | undefined
+  /** Revision of the store to which the copy corresponds. */
+  readCopyRevision: () => number
   logger: Logger
 }
 
 const CHECK_INTERVAL_MS = 300
-/** With the interval, covers a store that is slow or unreachable for half a minute after its restore. */
-const MAXIMUM_CHECKS = 100
+/** Relays write first, to spare the store. Other hosts write when the claims are still missing after this time. */
+const RELAYS_ONLY_MS = 1200
 
 /**
  * Writes the newest known claims again after a restore of the store lost them. Without them a host that starts later would use a
@@ -38,14 +40,19 @@
     return new ClaimRestorer(options)
   }
 
-  /** Compares the claims with the store until it has them all. Only relays write, to spare the store. */
+  /** Whether the copy of the store has all known claims or newer ones. Until then its confirmations do not extend a primary lease. */
+  hasAllClaims (): boolean {
+    return this.#listLost().length === 0
+  }
+
+  /** Compares the claims with the store until it has them all. */
   async run (): Promise<void> {
     if (this.#isRunning) return
     this.#isRunning = true
-    for (let checks = 0; checks < MAXIMUM_CHECKS && !this.#isClosed; checks++) {
+    for (let waitedMs = 0; !this.#isClosed; waitedMs += CHECK_INTERVAL_MS) {
       const lost = this.#listLost()
       if (lost.length === 0) break
-      if (this.#options.relays.isSelfRelay) await Promise.all(lost.map(async ({ group, claim }) => { await this.#write(group, claim) }))
+      if (this.#options.relays.isSelfRelay || waitedMs >= RELAYS_ONLY_MS) await Promise.all(lost.map(async ({ group, claim }) => { await this.#write(group, claim) }))
       await delay(CHECK_INTERVAL_MS)
     }
     this.#isRunning = false
@@ -56,8 +63,10 @@
   }
 
   #listLost (): Array<{ group: string, claim: PromotionClaim }> {
-    const { leases, findStored } = this.#options
-    return leases.listClaims().filter(({ group, claim }) => {
+    const { leases, findStored, readCopyRevision } = this.#options
+    return leases.listClaims().filter(({ group, claim, revision }) => {
+      // A copy from before the claim does not show whether the store has it.
+      if (readCopyRevision() < revision) return false
       const stored = findStored(fleetObjects.formatGroupName(group))
       return isClaimOutdated(promotionClaim.safeParse(stored?.value).data, claim)
     })
--- a/packages/host/src/failover/lease-release-collector.ts
+++ b/packages/host/src/failover/lease-release-collector.ts
@@ -61,7 +61,7 @@
     const areHoldersIncomplete = restoredAt !== undefined && claimedAt - restoredAt < (limitMs ?? 0)
     const barrier = LeaseBarrier.create({ holders, areHoldersIncomplete, claimedAt, limitMs })
     if (barrier.isOpen(clock.readTime())) return true
-    void claimHandler.release(group, claim, revision, quiesceMs).then(() => { barrier.recordRelease(self.incarnation) })
+    void claimHandler.release(group, claim, revision, quiesceMs).then((isReleased) => { if (isReleased) barrier.recordRelease(self.incarnation) })
     for (const host of hosts) if (host.host !== self.host) void this.#requestRelease(host, { claim, revision, quiesceMs }, barrier)
     let renewedAt = clock.readTime()
     while (!barrier.isOpen(clock.readTime())) {
--- a/packages/host/src/peer/register-peer-methods.ts
+++ b/packages/host/src/peer/register-peer-methods.ts
@@ -42,7 +42,8 @@
   connection.addMethod(promotionNotice, async ({ group, claim, era, revision, quiesceMs }) => {
     const claimRevision = storeRevision.decode({ era, revision })
     if (claimRevision === undefined) throw new RangeError(`revision ${revision} of era ${era} is out of range`)
-    await services.claimHandler.release(group, promotionClaim.parse(claim), claimRevision, quiesceMs)
+    const isReleased = await services.claimHandler.release(group, promotionClaim.parse(claim), claimRevision, quiesceMs)
+    if (!isReleased) throw new Error('a newer claim of the group is known')
     return {}
   })
   void Promise.all([connection.remoteHello, connection.closed]).then(
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -118,15 +118,17 @@
     logger,
     watchMs: leases.limitMs === undefined ? FLEET_WATCH_MS : LEASE_WATCH_MS,
     handleClaim: (group, claim, revision) => { claimHandler.apply(group, claim, revision) },
-    handleConfirmed: (confirmedAt, requestedAt) => { if (!areLeasesReleased) leases.confirm(confirmedAt, requestedAt) },
-    handleRestored: () => { void claimRestorer.run() },
+    handleConfirmed: (confirmedAt, requestedAt) => {
+      if (!claimRestorer.hasAllClaims()) void claimRestorer.run()
+      else if (!areLeasesReleased) leases.confirm(confirmedAt, requestedAt)
+    },
     handleHosts: (records) => {
       router.updateHosts(records)
       relays.updateHosts(records)
       budget.updateHosts(records)
     }
   })
-  const claimRestorer: ClaimRestorer = ClaimRestorer.create({ store: adapter.store, leases, relays, findStored: (name) => fleet.watcher.findObject(name), logger })
+  const claimRestorer: ClaimRestorer = ClaimRestorer.create({ store: adapter.store, leases, relays, findStored: (name) => fleet.watcher.findObject(name), readCopyRevision: () => fleet.watcher.copyRevision, logger })
   const failover = FailoverTask.create({
     self, adapter, leaders, links, registry, router, listRecords, findCatalogue: () => catalogue.replica.catalogue, leases, claimHandler, findRestoreTime: (revision) => fleet.watcher.findRestoreTime(revision), countSuspensions: () => clock.countSuspensions(), clock, logger
   })
--- a/packages/host/src/store/fleet-task.ts
+++ b/packages/host/src/store/fleet-task.ts
@@ -24,8 +24,6 @@
   handleClaim: (group: string, claim: PromotionClaim, revision: number) => void
   /** All claims that existed at `confirmedAt` have been applied, and this host's record was in the store at that time. */
   handleConfirmed: (confirmedAt: number, requestedAt: number) => void
-  /** The store was restored from a copy and may have lost claims. */
-  handleRestored: () => void
 }
 
 const RETRY_DELAY_MS = 300
@@ -139,15 +137,13 @@
 
   /** Writes this host's record again if the restored store lacks it or holds an earlier one. */
   #handleRestored (): void {
-    const { self, logger, handleRestored } = this.#options
+    const { self, logger } = this.#options
     const stored = hostRecordSchema.safeParse(this.watcher.findObject(fleetObjects.formatHostName(self.host))?.value).data
     const isCurrent = stored?.incarnation === self.incarnation && (stored.isLeaving === true) === this.#isLeaving
-    if (!isCurrent) {
-      logger.warn('the store has lost the record of this host', { isLeaving: this.#isLeaving })
-      if (!this.#isLeaving) void this.#register()
-      else if (stored !== undefined) void this.leave()
-    }
-    handleRestored()
+    if (isCurrent) return
+    logger.warn('the store has lost the record of this host', { isLeaving: this.#isLeaving })
+    if (!this.#isLeaving) void this.#register()
+    else if (stored !== undefined) void this.leave()
   }
 
   #applyRecord (record: HostRecord, revision: number): void {
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -73,6 +73,8 @@
   get appliedLists (): number { return this.#appliedLists }
   /** Number of watches that failed because the store did not have the history for them. */
   get historyGaps (): number { return this.#historyGaps }
+  /** Revision of the store to which the copy corresponds; negative before the first list. */
+  get copyRevision (): number { return this.#copy.revision }
   get era (): number { return storeRevision.encode(this.#copy.revision).era }
   /** The store's own counter, which goes back when a new era begins. */
   get revision (): number { return storeRevision.encode(this.#copy.revision).revision }
