Do not overwrite a claim that cannot be parsed

A later version of the product may have written it. Found in reading; the store stand-ins hold none, and the log already names unreadable objects.

--- a/packages/host/src/failover/claim-restorer.ts
+++ b/packages/host/src/failover/claim-restorer.ts
@@ -62,13 +62,16 @@
     this.#isClosed = true
   }
 
+  /** Leaves a claim alone that cannot be parsed, since a later version may have written it. */
   #listLost (): Array<{ group: string, claim: PromotionClaim }> {
     const { leases, findStored, readCopyRevision } = this.#options
     return leases.listClaims().filter(({ group, claim, revision }) => {
       // A copy from before the claim does not show whether the store has it.
       if (readCopyRevision() < revision) return false
       const stored = findStored(fleetObjects.formatGroupName(group))
-      return isClaimOutdated(promotionClaim.safeParse(stored?.value).data, claim)
+      const storedClaim = promotionClaim.safeParse(stored?.value).data
+      const isUnreadable = stored !== undefined && storedClaim === undefined
+      return !isUnreadable && isClaimOutdated(storedClaim, claim)
     })
   }
 
