Compare claims with the store by revision before parsing them

Each confirmation compares all known claims with the copy; with thousands of groups the parsing would take several percent of a core. No behaviour changes: a stored claim with the known revision is the known claim.

--- a/packages/host/src/failover/claim-restorer.ts
+++ b/packages/host/src/failover/claim-restorer.ts
@@ -66,9 +66,9 @@
   #listLost (): Array<{ group: string, claim: PromotionClaim }> {
     const { leases, findStored, readCopyRevision } = this.#options
     return leases.listClaims().filter(({ group, claim, revision }) => {
-      // A copy from before the claim does not show whether the store has it.
-      if (readCopyRevision() < revision) return false
       const stored = findStored(fleetObjects.formatGroupName(group))
+      // A copy from before the claim does not show whether the store has it.
+      if (stored?.revision === revision || readCopyRevision() < revision) return false
       const storedClaim = promotionClaim.safeParse(stored?.value).data
       const isUnreadable = stored !== undefined && storedClaim === undefined
       return !isUnreadable && isClaimOutdated(storedClaim, claim)
