--- a/packages/checker/src/main.ts
+++ b/packages/checker/src/main.ts
@@ -27,8 +27,9 @@
   .description('run random schedules of faults against primary leases, where an old primary keeps serving after its replacement')
   .option('--seed <n>', 'seed', Number, 1)
   .option('--runs <n>', 'number of schedules', Number, 2000)
-  .action(async ({ seed, runs }: Flags) => {
-    const report = await runLeaseChecker({ seed, runs })
+  .option('--restores', 'restore the store from copies, too', false)
+  .action(async ({ seed, runs, restores }: Flags & { restores: boolean }) => {
+    const report = await runLeaseChecker({ seed, runs, hasRestores: restores })
     console.log(JSON.stringify(report, null, 2))
     process.exitCode = report.counterexample === undefined ? 0 : 1
   })
