--- a/packages/checker/src/leases/lease-host.ts
+++ b/packages/checker/src/leases/lease-host.ts
@@ -11,7 +11,7 @@
 import { ClaimHandler } from '@tanagerusher/host/failover/claim-handler'
 import { delay } from '@tanagerusher/host/program/delay'
 import { PrimaryGuard } from '@tanagerusher/host/upstream/primary-guard'
-import { storeRevision } from '@tanagerusher/state/common/store-revision'
+import { orderedRevision } from '@tanagerusher/state/common/ordered-revision'
 import type { StatementResponse } from '@tanagerusher/state/upstream/statement-response'
 import type { UpstreamCommand } from '@tanagerusher/state/upstream/upstream-command'
 import type { UpstreamStatus } from '@tanagerusher/state/upstream/upstream-status'
@@ -185,7 +185,7 @@
         const other = (index + 1 + simulation.time.queue.chooseNumber(0, simulation.hosts.length - 2)) % simulation.hosts.length
         const response = await simulation.send(index, () => this.#isHostReachable(other) && !simulation.hasFault(`suspend ${other}`), () => findHost(other).describeCopy(), PROBE_TIMEOUT_MS)
         if (response !== undefined && response.listRevision > this.#listRevision) this.#applyStored(response.stored, response.listRevision)
-        const isSameEra = response !== undefined && storeRevision.readEra(response.listRevision) === storeRevision.readEra(this.#listRevision)
+        const isSameEra = response !== undefined && orderedRevision.readEra(response.listRevision) === orderedRevision.readEra(this.#listRevision)
         if (isSameEra) this.#confirm(switches.countFromResponse === true ? this.#readTime() : requestedAt - response.ageMs, requestedAt)
       }
       await delay(CONFIRMATION_INTERVAL_MS)
@@ -193,7 +193,7 @@
   }
 
   #applyStored (objects: readonly StoreObject[], listRevision: number): void {
-    const isRestored = storeRevision.readEra(listRevision) > storeRevision.readEra(this.#listRevision)
+    const isRestored = orderedRevision.readEra(listRevision) > orderedRevision.readEra(this.#listRevision)
     if (isRestored) this.#restoredAt = this.#readTime()
     this.#listRevision = listRevision
     this.#stored = new Map(objects.map((object) => [object.name, object]))
@@ -215,7 +215,7 @@
   }
 
   async handleNotice ({ group, claim, era, revision, quiesceMs }: Notice): Promise<object> {
-    const isReleased = await this.#claims.release(group, promotionClaim.parse(claim), storeRevision.decode({ era, revision }) as number, quiesceMs)
+    const isReleased = await this.#claims.release(group, promotionClaim.parse(claim), orderedRevision.decode({ era, revision }) as number, quiesceMs)
     if (!isReleased) throw new Error('a newer claim of the group is known')
     return {}
   }
@@ -250,7 +250,7 @@
       findCatalogue: () => catalogue as never,
       leases: leases as never,
       claimHandler: this.#claims,
-      findRestoreTime: (revision) => storeRevision.readEra(revision) > storeRevision.readEra(this.#listRevision) ? this.#readTime() : this.#restoredAt,
+      findRestoreTime: (revision) => orderedRevision.readEra(revision) > orderedRevision.readEra(this.#listRevision) ? this.#readTime() : this.#restoredAt,
       countSuspensions: () => {
         this.#checkClocks()
         return this.#suspensions
--- a/packages/checker/src/leases/lease-simulation.ts
+++ b/packages/checker/src/leases/lease-simulation.ts
@@ -3,7 +3,7 @@
 import type { PromotionRequest } from '@tanagerusher/coordination/common/promotion-request'
 import type { StoreObject } from '@tanagerusher/coordination/common/store-object'
 import { fleetObjects } from '@tanagerusher/coordination/membership/fleet-objects'
-import { storeRevision } from '@tanagerusher/state/common/store-revision'
+import { orderedRevision } from '@tanagerusher/state/common/ordered-revision'
 import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import type { Violation } from '../common/violation.js'
@@ -92,13 +92,13 @@
   createStore (host: number): ObjectStore {
     let knownEra = 0
     const change = async (name: string, value: unknown, revision: number | undefined): Promise<StoreResult<StoreObject>> => {
-      if (revision !== undefined && revision > 0 && storeRevision.readEra(revision) < knownEra) return { type: 'conflict' }
+      if (revision !== undefined && revision > 0 && orderedRevision.readEra(revision) < knownEra) return { type: 'conflict' }
       return await this.#change(host, name, value, revision)
     }
     return {
       list: async () => {
         const list = await this.#call(host, () => ({ type: 'ok' as const, value: { revision: this.#composeRevision(this.#revision), objects: [...this.#objects.values()].map((object) => this.#compose(object)) } }))
-        if (list.type === 'ok') knownEra = Math.max(knownEra, storeRevision.readEra(list.value.revision))
+        if (list.type === 'ok') knownEra = Math.max(knownEra, orderedRevision.readEra(list.value.revision))
         return list
       },
       watch: async () => ({ type: 'rejected', reason: 'not simulated' }),
@@ -199,10 +199,10 @@
   async #change (host: number, name: string, value: unknown, revision: number | undefined): Promise<StoreResult<StoreObject>> {
     const apply = (): StoreResult<StoreObject> => {
       const known = this.#objects.get(name)?.revision ?? 0
-      if (revision !== undefined && known !== storeRevision.encode(revision).revision) return { type: 'conflict' }
+      if (revision !== undefined && known !== orderedRevision.encode(revision).revision) return { type: 'conflict' }
       const written = this.#put(name, value)
       // A condition of an earlier era may hold for a counter that was given out again.
-      return revision === undefined || revision === 0 || storeRevision.readEra(revision) === this.#era ? { type: 'ok', value: written } : { type: 'no-answer', reason: 'restored' }
+      return revision === undefined || revision === 0 || orderedRevision.readEra(revision) === this.#era ? { type: 'ok', value: written } : { type: 'no-answer', reason: 'restored' }
     }
     if (!this.hasFault('store loses') || !this.#chooseBoolean(LOST_PERCENT)) return await this.#call(host, apply)
     if (!this.hasFault(`store ${host}`)) this.time.add(this.time.queue.chooseNumber(0, MAXIMUM_LATE_EFFECT_MS), () => { apply() })
@@ -221,7 +221,7 @@
   }
 
   #composeRevision (revision: number): number {
-    return storeRevision.decode({ era: this.#era, revision }) as number
+    return orderedRevision.decode({ era: this.#era, revision }) as number
   }
 
   #chooseBoolean (percentTrue: number): boolean { return this.time.queue.chooseNumber(0, 99) < percentTrue }
--- a/packages/coordination/src/common/object-store.ts
+++ b/packages/coordination/src/common/object-store.ts
@@ -15,7 +15,7 @@
 export type StoreResult<Value> = { type: 'ok', value: Value } | StoreFailure
 
 /**
- * Store of objects by kind and name, with conditional writes and watches. Its revisions are those of `storeRevision`, so they never
+ * Store of objects by kind and name, with conditional writes and watches. Its revisions are those of `orderedRevision`, so they never
  * go back, also when the store is restored from a copy.
  */
 export interface ObjectStore {
--- a/packages/coordination/src/configuration/relayed-objects.ts
+++ b/packages/coordination/src/configuration/relayed-objects.ts
@@ -1,4 +1,4 @@
-import { storeRevision } from '@tanagerusher/state/common/store-revision'
+import { orderedRevision } from '@tanagerusher/state/common/ordered-revision'
 import type { StoreObject } from '../common/store-object.js'
 import { computeHash } from '../common/compute-hash.js'
 import type { RelayedState } from './relayed-state.js'
@@ -42,7 +42,7 @@
   /** `storeRecoveredAt` is the time at which the store last became reachable again. */
   describeState (storeRecoveredAt: number | undefined, now: number): RelayedState {
     const returnAgeMs = storeRecoveredAt === undefined ? UNCONFIRMED_AGE_MS : now - storeRecoveredAt
-    return { ...storeRevision.encode(this.#revision), digest: this.#digest, ageMs: Math.min(UNCONFIRMED_AGE_MS, this.readConfirmationAgeMs(now)), returnAgeMs }
+    return { ...orderedRevision.encode(this.#revision), digest: this.#digest, ageMs: Math.min(UNCONFIRMED_AGE_MS, this.readConfirmationAgeMs(now)), returnAgeMs }
   }
 
   /** Replaces the copy by a complete list. Returns the names of removed objects, or undefined when the list is older than the copy. */
@@ -76,8 +76,8 @@
   /** Compares with the state of another host's copy, received in response to a request sent at `sentAt`. */
   compare (other: RelayedState, sentAt: number): CopyComparison {
     if (other.revision < 0) return { type: 'nothing' }
-    const otherRevision = storeRevision.decode(other) ?? -1
-    const isSameEra = storeRevision.readEra(otherRevision) === storeRevision.readEra(this.#revision)
+    const otherRevision = orderedRevision.decode(other) ?? -1
+    const isSameEra = orderedRevision.readEra(otherRevision) === orderedRevision.readEra(this.#revision)
     if (other.digest === this.#digest && isSameEra && this.isLoaded) {
       this.#revision = Math.max(this.#revision, otherRevision)
       this.confirm(sentAt - other.ageMs, sentAt)
@@ -91,17 +91,17 @@
    * era, these are all objects.
    */
   listChanges (since: number): Delta {
-    const changed = this.objects.filter(({ revision }) => revision > since).map((object) => ({ ...object, revision: storeRevision.encode(object.revision).revision }))
-    return { ...storeRevision.encode(this.#revision), names: [...this.#objects.keys()], changed }
+    const changed = this.objects.filter(({ revision }) => revision > since).map((object) => ({ ...object, revision: orderedRevision.encode(object.revision).revision }))
+    return { ...orderedRevision.encode(this.#revision), names: [...this.#objects.keys()], changed }
   }
 
   /** Applies the result of `listChanges` from another host; returns undefined when it is not newer than this copy. */
   applyDelta (delta: Delta): { removed: string[], changed: StoreObject[] } | undefined {
     const { era, names } = delta
-    const revision = storeRevision.decode(delta)
+    const revision = orderedRevision.decode(delta)
     if (revision === undefined || revision <= this.#revision) return undefined
     const changed = delta.changed.flatMap((object) => {
-      const objectRevision = storeRevision.decode({ era, revision: object.revision })
+      const objectRevision = orderedRevision.decode({ era, revision: object.revision })
       return objectRevision === undefined ? [] : [{ ...object, revision: objectRevision }]
     })
     const present = new Set(names)
@@ -114,6 +114,6 @@
 
   #advance (revision: number): void {
     this.#revision = Math.max(this.#revision, revision)
-    this.#digest = [...this.#objects.values()].reduce((sum, object) => (sum + computeHash(`${object.name} ${storeRevision.encode(object.revision).revision}`)) >>> 0, 1)
+    this.#digest = [...this.#objects.values()].reduce((sum, object) => (sum + computeHash(`${object.name} ${orderedRevision.encode(object.revision).revision}`)) >>> 0, 1)
   }
 }
--- a/packages/coordination/src/membership/upstream-directory.ts
+++ b/packages/coordination/src/membership/upstream-directory.ts
@@ -1,4 +1,4 @@
-import { storeRevision } from '@tanagerusher/state/common/store-revision'
+import { orderedRevision } from '@tanagerusher/state/common/ordered-revision'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 
 /** A running database registers again within this time after the store becomes reachable, if its entry expired during the outage. */
@@ -73,7 +73,7 @@
   #isFromBeforeDeparture ({ id, startedAt, revision }: UpstreamRecord, now: number): boolean {
     const departure = this.#departures.get(id)
     if (departure === undefined || departure.startedAt !== startedAt || now - departure.leftAt > DEPARTURE_RETENTION_MS) return false
-    const isRestored = storeRevision.readEra(revision) > storeRevision.readEra(departure.revision)
+    const isRestored = orderedRevision.readEra(revision) > orderedRevision.readEra(departure.revision)
     if (!isRestored) return false
     departure.restoredRevision ??= revision
     return revision === departure.restoredRevision
--- a/packages/coordination/test/configuration/relayed-objects.test.ts
+++ b/packages/coordination/test/configuration/relayed-objects.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { storeRevision } from '@tanagerusher/state/common/store-revision'
+import { orderedRevision } from '@tanagerusher/state/common/ordered-revision'
 import { RelayedObjects } from '../../src/configuration/relayed-objects.js'
 
 const object = (name: string, revision: number) => ({ name, revision, value: name })
@@ -45,7 +45,7 @@
   assert.deepEqual(other.compare(RelayedObjects.create().describeState(undefined, 0), 100), { type: 'nothing' })
 })
 
-const decodeRevision = (era: number, revision: number): number => storeRevision.decode({ era, revision }) as number
+const decodeRevision = (era: number, revision: number): number => orderedRevision.decode({ era, revision }) as number
 
 /** A copy from before a restore and one from after it, whose revision has not reached the earlier one again. */
 function createRestoredCopies (): { before: RelayedObjects, after: RelayedObjects } {
--- a/packages/coordination/test/membership/upstream-directory.test.ts
+++ b/packages/coordination/test/membership/upstream-directory.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
-import { storeRevision } from '@tanagerusher/state/common/store-revision'
+import { orderedRevision } from '@tanagerusher/state/common/ordered-revision'
 import { listOwnerCandidates } from '../../src/membership/list-owner-candidates.js'
 import { UpstreamDirectory } from '../../src/membership/upstream-directory.js'
 
@@ -38,7 +38,7 @@
 })
 
 test('a database that was leaving does not become usable again because a restored store holds its earlier entry', () => {
-  const decodeRevision = (era: number, revision: number): number => storeRevision.decode({ era, revision }) as number
+  const decodeRevision = (era: number, revision: number): number => orderedRevision.decode({ era, revision }) as number
   for (const wasRemoved of [false, true]) {
     const directory = UpstreamDirectory.create()
     directory.applyRecord({ ...record, revision: decodeRevision(1, 10) }, 0)
@@ -56,6 +56,6 @@
 test('a database that restarted under its id is used, although its earlier life was leaving before a restore of the store', () => {
   const directory = UpstreamDirectory.create()
   directory.applyRecord({ ...record, isLeaving: true, revision: 15 }, 0)
-  directory.applyRecord({ ...record, startedAt: 1, revision: storeRevision.decode({ era: 1, revision: 10 }) as number }, 1000)
+  directory.applyRecord({ ...record, startedAt: 1, revision: orderedRevision.decode({ era: 1, revision: 10 }) as number }, 1000)
   assert.equal(directory.find('d1', 1000)?.isLeaving, false)
 })
--- a/packages/host/src/failover/claim-holder.ts
+++ b/packages/host/src/failover/claim-holder.ts
@@ -7,7 +7,7 @@
 import type { StoreObject } from '@tanagerusher/coordination/common/store-object'
 import { fleetObjects } from '@tanagerusher/coordination/membership/fleet-objects'
 import { parseFleetObjects } from '@tanagerusher/coordination/membership/parse-fleet-objects'
-import { storeRevision } from '@tanagerusher/state/common/store-revision'
+import { orderedRevision } from '@tanagerusher/state/common/ordered-revision'
 import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
 import type { Logger } from 'winston'
 import { delay } from '../program/delay.js'
@@ -120,7 +120,7 @@
       const stored = await this.#read()
       const isWritten = stored?.claim?.incarnation === self.incarnation && stored.claim.sequence === claim.sequence
       // After a restore the condition may have held for another claim than the one that was read.
-      if (isWritten && (revision === 0 || storeRevision.readEra(stored.revision) === storeRevision.readEra(revision))) return this.#recordWritten(claim, stored.revision, sentAt)
+      if (isWritten && (revision === 0 || orderedRevision.readEra(stored.revision) === orderedRevision.readEra(revision))) return this.#recordWritten(claim, stored.revision, sentAt)
       if (stored !== undefined && stored.revision !== revision) return false
       await delay(RETRY_DELAY_MS)
     }
--- a/packages/host/src/failover/lease-release-collector.ts
+++ b/packages/host/src/failover/lease-release-collector.ts
@@ -2,7 +2,7 @@
 import { LeaseBarrier } from '@tanagerusher/coordination/failover/lease-barrier'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import { promotionNotice } from '@tanagerusher/protocol/peer/promotion-notice'
-import { storeRevision } from '@tanagerusher/state/common/store-revision'
+import { orderedRevision } from '@tanagerusher/state/common/ordered-revision'
 import type { HostRecord } from '@tanagerusher/state/upstream/host-record'
 import type { Logger } from 'winston'
 import type { PeerLinks } from '../peer/peer-links.js'
@@ -78,7 +78,7 @@
   notifyEnd (claim: PromotionClaim, revision: number): void {
     const { group, links } = this.#options
     for (const link of links.all) {
-      if (link.isUp) link.request(promotionNotice, { group, claim, ...storeRevision.encode(revision), quiesceMs: 0 }, NOTICE_TIMEOUT_MS).catch(() => {}) // the link logs its loss itself
+      if (link.isUp) link.request(promotionNotice, { group, claim, ...orderedRevision.encode(revision), quiesceMs: 0 }, NOTICE_TIMEOUT_MS).catch(() => {}) // the link logs its loss itself
     }
   }
 
@@ -88,7 +88,7 @@
     while (barrier.unreleasedHolders.includes(host.incarnation) && !barrier.isOpen(clock.readTime())) {
       try {
         if (await link.prepare()) {
-          await link.request(promotionNotice, { group, ...notice, ...storeRevision.encode(notice.revision) }, notice.quiesceMs + NOTICE_TIMEOUT_MS)
+          await link.request(promotionNotice, { group, ...notice, ...orderedRevision.encode(notice.revision) }, notice.quiesceMs + NOTICE_TIMEOUT_MS)
           // If a newer incarnation of the host responds, it releases its own lease, and the requested incarnation has ended.
           barrier.recordRelease(host.incarnation)
         }
--- a/packages/host/src/peer/register-peer-methods.ts
+++ b/packages/host/src/peer/register-peer-methods.ts
@@ -6,7 +6,7 @@
 import { leaderPosition } from '@tanagerusher/protocol/peer/leader-position'
 import { upstreamExecute, type UpstreamExecuteResult } from '@tanagerusher/protocol/peer/upstream-execute'
 import { upstreamProbe } from '@tanagerusher/protocol/peer/upstream-probe'
-import { storeRevision } from '@tanagerusher/state/common/store-revision'
+import { orderedRevision } from '@tanagerusher/state/common/ordered-revision'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import type { PeerConnection } from '@tanagerusher/transport/peer/peer-connection'
 import type { HostServices } from '../program/host-services.js'
@@ -21,7 +21,7 @@
   })
   connection.addMethod(objectsFetch, async ({ kind, era, since }) => {
     const watcher = services.watchers.find((candidate) => candidate.kind === kind)
-    return watcher?.listChanges(storeRevision.decode({ era, revision: since }) ?? -1) ?? { era: 0, revision: -1, names: [], changed: [] }
+    return watcher?.listChanges(orderedRevision.decode({ era, revision: since }) ?? -1) ?? { era: 0, revision: -1, names: [], changed: [] }
   })
   connection.addMethod(budgetExchange, async ({ deposits, wants }) => ({ grants: budget.handleExchange(deposits, wants) }))
   connection.addMethod(upstreamExecute, async (params): Promise<UpstreamExecuteResult> => {
@@ -40,7 +40,7 @@
     return { isReachable: record !== undefined && await registry.find(record).probe() }
   })
   connection.addMethod(promotionNotice, async ({ group, claim, era, revision, quiesceMs }) => {
-    const claimRevision = storeRevision.decode({ era, revision })
+    const claimRevision = orderedRevision.decode({ era, revision })
     if (claimRevision === undefined) throw new RangeError(`revision ${revision} of era ${era} is out of range`)
     const isReleased = await services.claimHandler.release(group, promotionClaim.parse(claim), claimRevision, quiesceMs)
     if (!isReleased) throw new Error('a newer claim of the group is known')
--- a/packages/host/src/store/fleet-task.ts
+++ b/packages/host/src/store/fleet-task.ts
@@ -4,7 +4,7 @@
 import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import { fleetObjects } from '@tanagerusher/coordination/membership/fleet-objects'
 import { parseFleetObjects } from '@tanagerusher/coordination/membership/parse-fleet-objects'
-import { storeRevision } from '@tanagerusher/state/common/store-revision'
+import { orderedRevision } from '@tanagerusher/state/common/ordered-revision'
 import { hostRecordSchema, type HostRecord } from '@tanagerusher/state/upstream/host-record'
 import type { Logger } from 'winston'
 import { delay } from '../program/delay.js'
@@ -109,7 +109,7 @@
       const created = await store.create(fleetObjects.kind, name, self)
       const result = created.type === 'conflict' ? await store.replace(fleetObjects.kind, name, self) : created
       // A write from before a restore of the store is lost.
-      if (result.type === 'ok' && storeRevision.readEra(result.value.revision) >= this.watcher.era) {
+      if (result.type === 'ok' && orderedRevision.readEra(result.value.revision) >= this.watcher.era) {
         this.#records.set(self.host, { record: self, revision: result.value.revision })
         this.#registeredAt = clock.readTime()
         logger.info('joined the fleet', { revision: result.value.revision })
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -5,7 +5,7 @@
 import type { RelayedState } from '@tanagerusher/coordination/configuration/relayed-state'
 import type { StoreObject } from '@tanagerusher/coordination/common/store-object'
 import { objectsFetch } from '@tanagerusher/protocol/peer/objects-fetch'
-import { storeRevision } from '@tanagerusher/state/common/store-revision'
+import { orderedRevision } from '@tanagerusher/state/common/ordered-revision'
 import type { Logger } from 'winston'
 import type { z } from 'zod'
 import type { PeerLink } from '../peer/peer-link.js'
@@ -75,9 +75,9 @@
   get historyGaps (): number { return this.#historyGaps }
   /** Revision of the store to which the copy corresponds; negative before the first list. */
   get copyRevision (): number { return this.#copy.revision }
-  get era (): number { return storeRevision.encode(this.#copy.revision).era }
+  get era (): number { return orderedRevision.encode(this.#copy.revision).era }
   /** The store's own counter, which goes back when a new era begins. */
-  get revision (): number { return storeRevision.encode(this.#copy.revision).revision }
+  get revision (): number { return orderedRevision.encode(this.#copy.revision).revision }
 
   readConfirmationAgeMs (now: number): number { return this.#copy.readConfirmationAgeMs(now) }
 
@@ -98,7 +98,7 @@
    * era, undefined when the host has seen no restore.
    */
   findRestoreTime (revision: number): number | undefined {
-    return storeRevision.readEra(revision) > this.era ? this.#options.clock.readTime() : this.#restoredAt
+    return orderedRevision.readEra(revision) > this.era ? this.#options.clock.readTime() : this.#restoredAt
   }
 
   describe (): RelayedState {
@@ -160,9 +160,9 @@
     const { objects, revision } = result.value
     const previousRevision = this.#copy.revision
     const removed = this.#copy.applyList(objects, revision)
-    logger.info('copy listed', { kind, ...storeRevision.encode(revision), previousRevision: storeRevision.encode(previousRevision).revision, objects: objects.length, removed: removed?.length })
+    logger.info('copy listed', { kind, ...orderedRevision.encode(revision), previousRevision: orderedRevision.encode(previousRevision).revision, objects: objects.length, removed: removed?.length })
     if (removed !== undefined) this.#handleUpdate(objects, removed, 'store', previousRevision)
-    if (storeRevision.readEra(revision) === storeRevision.readEra(this.#copy.revision)) this.#confirm(sentAt)
+    if (orderedRevision.readEra(revision) === orderedRevision.readEra(this.#copy.revision)) this.#confirm(sentAt)
     return undefined
   }
 
@@ -198,7 +198,7 @@
     this.#isFetching = true
     const { kind, logger } = this.#options
     try {
-      const { era, revision: since } = storeRevision.encode(this.#copy.revision)
+      const { era, revision: since } = orderedRevision.encode(this.#copy.revision)
       const delta = await link.request(objectsFetch, { kind, era, since }, FETCH_TIMEOUT_MS)
       const previousRevision = this.#copy.revision
       const applied = this.#copy.applyDelta(delta)
@@ -240,9 +240,9 @@
   #handleUpdate (changed: readonly StoreObject[], removed: readonly string[], source: string, previousRevision: number): void {
     this.#appliedUpdates++
     const { logger, kind, clock, events } = this.#options
-    const isRestored = previousRevision >= 0 && storeRevision.readEra(previousRevision) < storeRevision.readEra(this.#copy.revision)
+    const isRestored = previousRevision >= 0 && orderedRevision.readEra(previousRevision) < orderedRevision.readEra(this.#copy.revision)
     if (isRestored) {
-      logger.warn('store was restored from a copy', { kind, source, era: this.era, revision: this.revision, previous: storeRevision.encode(previousRevision) })
+      logger.warn('store was restored from a copy', { kind, source, era: this.era, revision: this.revision, previous: orderedRevision.encode(previousRevision) })
       this.#recoveredAt = clock.readTime()
       this.#restoredAt = this.#recoveredAt
     }
--- a/packages/state/src/common/store-revision.ts
+++ b/packages/state/src/common/ordered-revision.ts
@@ -14,7 +14,7 @@
  * Revision of the store that orders all its histories: a store that is restored from a copy begins a new era, in which its own counter
  * goes back and gives revisions out again. A revision of a later era is higher than each of an earlier one.
  */
-export const storeRevision = {
+export const orderedRevision = {
   /** Returns undefined when the era or the counter is out of range. */
   decode ({ era, revision }: EncodedRevision): number | undefined {
     const isInRange = Number.isInteger(era) && era >= 0 && era < ERA_LIMIT && Number.isInteger(revision) && revision >= 0 && revision < REVISIONS_PER_ERA
@@ -23,7 +23,7 @@
 
   encode (revision: number): EncodedRevision {
     if (revision < 0) return { era: 0, revision: NONE }
-    const era = storeRevision.readEra(revision)
+    const era = orderedRevision.readEra(revision)
     return { era, revision: revision - era * REVISIONS_PER_ERA }
   },
 
