Count a claim as written only if the store has it

Cause: after a write without a response the holder looked for its claim in what the store has or what the host knows. A claim that the host knew, but the store had lost, counted as written.

Change: only acquiring a claim considers the known one; a write is confirmed by the stored one alone.

No test of its own: the case needs a lost response, a relay that sees the write, and a restore within 150 ms.

--- a/packages/host/src/failover/claim-holder.ts
+++ b/packages/host/src/failover/claim-holder.ts
@@ -64,18 +64,20 @@
    * previous one, in case it ends without a promotion.
    */
   async acquire (leader: string | undefined): Promise<{ previous: PromotionClaim | undefined } | undefined> {
-    const { takeoverPolicy, group, inFlightCalls, clock, logger } = this.#options
+    const { takeoverPolicy, group, inFlightCalls, findKnownClaim, clock, logger } = this.#options
     const stored = await this.#read()
-    if (stored?.claim !== undefined) inFlightCalls?.recordClaim(group, stored.claim, stored.revision, clock.readTime())
-    if (stored === undefined || !takeoverPolicy.isClaimable(group, stored.claim, stored.revision, clock.readTime())) return undefined
-    this.#held = stored.claim === undefined ? undefined : { claim: stored.claim, revision: stored.revision }
-    const previous = stored.claim
+    const known = findKnownClaim()
+    // A restore of the store may have lost the newest claim.
+    const previous = known !== undefined && isClaimOutdated(stored?.claim, known) ? known : stored?.claim
+    if (stored !== undefined && previous !== undefined) inFlightCalls?.recordClaim(group, previous, stored.revision, clock.readTime())
+    if (stored === undefined || !takeoverPolicy.isClaimable(group, previous, stored.revision, clock.readTime())) return undefined
+    this.#held = previous === undefined ? undefined : { claim: previous, revision: stored.revision }
     if (previous?.phase === 'ended' && previous.leader !== undefined && leader !== undefined && previous.leader !== leader) {
       logger.info('another database leads by now', { group, leader, appointed: previous.leader, term: previous.term })
       return undefined
     }
     const change: ClaimChange = previous?.phase === 'called' ? previous : { phase: 'claimed', leader: previous?.leader, term: previous?.term }
-    return await this.#write(change, stored.revision, stored.claim?.sequence ?? 0) ? { previous: stored.claim } : undefined
+    return await this.#write(change, stored.revision, previous?.sequence ?? 0) ? { previous } : undefined
   }
 
   /** Returns false when another host has taken the claim over, or the store is unreachable. */
@@ -92,9 +94,9 @@
     return false
   }
 
-  /** Reads the hosts and the claim, or the known claim if a restore of the store lost it, with the revision for the next write. */
+  /** Reads the hosts and the claim in the store, with its revision, or 0 when there is none. */
   async #read (): Promise<{ claim: PromotionClaim | undefined, revision: number } | undefined> {
-    const { store, group, findKnownClaim, logger } = this.#options
+    const { store, group, logger } = this.#options
     const list = await store.list(fleetObjects.kind)
     if (list.type !== 'ok') {
       logger.warn('promotion cannot be claimed', { group, ...list })
@@ -103,9 +105,7 @@
     const { hosts, claims } = parseFleetObjects(list.value.objects)
     this.#hosts = hosts.map(({ record }) => record)
     const object = list.value.objects.find(({ name }) => name === fleetObjects.formatGroupName(group))
-    const stored = claims.find((claim) => claim.group === group)?.claim
-    const known = findKnownClaim()
-    return { claim: known !== undefined && isClaimOutdated(stored, known) ? known : stored, revision: object?.revision ?? 0 }
+    return { claim: claims.find((claim) => claim.group === group)?.claim, revision: object?.revision ?? 0 }
   }
 
   async #write ({ phase, leader, successor, term }: ClaimChange, revision: number, sequence: number): Promise<boolean> {
