Leave out a store entry that cannot be used, with its reason, instead of ending the host

Callers saw nine of ten requests without a response: one directory entry of another writer with the port 80800 ended every host of its data centre, again about a second after each restart.

Cause: the decoder accepted any digits as a port, connect() throws a RangeError for it, and ConnectionPool awaited the connector in a promise without a handler.

An entry is now reduced to the fields that are read, with ranges, when it arrives from the store or from another host. One that does not match is replaced by the reason, so the reason reaches every host, the log and tanagerusher_unusable_entries. A connector that throws is an unreachable database; a watcher that throws has a failed call; a failover check that throws is logged.

--- a/packages/host/src/failover/failover-task.ts
+++ b/packages/host/src/failover/failover-task.ts
@@ -94,7 +94,9 @@
     for (const group of groups) {
       if (this.#running.has(group) || (this.#nextCheckAt.get(group) ?? -Infinity) > clock.readTime()) continue
       this.#running.add(group)
-      void this.#checkGroup(group).finally(() => { this.#running.delete(group) })
+      void this.#checkGroup(group)
+        .catch((error: unknown) => { this.#options.logger.error('group was not checked', { group, reason: String((error as Error).message) }) })
+        .finally(() => { this.#running.delete(group) })
     }
     this.#timer = setTimeout(() => { this.#tick() }, groups.length > 0 && !groups.some((group) => this.#isStandby.get(group) !== false) ? UNINVOLVED_TICK_INTERVAL_MS : TICK_INTERVAL_MS)
   }
--- a/packages/host/src/program/host-services.ts
+++ b/packages/host/src/program/host-services.ts
@@ -3,6 +3,7 @@
 import type { PrimaryPositionTracker } from '../upstream/primary-position-tracker.js'
 import type { OwnerRegistry } from '../upstream/owner-registry.js'
 import type { ObjectWatcher } from '../store/object-watcher.js'
+import type { UnusableEntries } from '../store/unusable-entries.js'
 import type { UpstreamsTask } from '../store/upstreams-task.js'
 import type { ClaimHandler } from '../failover/claim-handler.js'
 import type { Evacuations } from '@tanagerusher/coordination/membership/evacuations'
@@ -23,5 +24,7 @@
   evacuations: Evacuations | undefined
   /** One watcher for each kind of objects that hosts copy from each other. */
   watchers: readonly ObjectWatcher[]
+  /** Entries of the store that cannot be decoded, by kind. */
+  unusableEntries: readonly UnusableEntries[]
   isLeaving: () => boolean
 }
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -151,6 +151,7 @@
   const upstreams: UpstreamsTask = UpstreamsTask.create({
     store: adapter.store,
     kind: adapter.upstreamKind,
+    compact: adapter.compactUpstreamEntry,
     decode: adapter.decodeUpstreamRecord,
     relays,
     retries,
@@ -186,7 +187,7 @@
   let isLeaving = false
   let areLeasesReleased = false
   const services: HostServices = {
-    clock, checkClocks: () => { clock.checkSuspension() }, budget, catalogue, registry, upstreams, claimHandler, findPositionTracker, watchers: [catalogue.watcher, upstreams.watcher, fleet.watcher, ...evacuations === undefined ? [] : [evacuations.watcher]], evacuations: evacuations?.evacuations, isLeaving: () => isLeaving
+    clock, checkClocks: () => { clock.checkSuspension() }, budget, catalogue, registry, upstreams, claimHandler, findPositionTracker, watchers: [catalogue.watcher, upstreams.watcher, fleet.watcher, ...evacuations === undefined ? [] : [evacuations.watcher]], evacuations: evacuations?.evacuations, unusableEntries: [upstreams.unusable, fleet.unusable], isLeaving: () => isLeaving
   }
   const random = xorshift128plus(Number.parseInt(incarnation, 16))
   const runner = OperationRunner.create({ router, leaders, listRecords, findCatalogue: () => catalogue.replica.catalogue, regions, isAvoided: (record) => isEvacuated(record) || warmup.isCold(record), clock, random, logger })
--- a/packages/host/src/program/render-metrics.ts
+++ b/packages/host/src/program/render-metrics.ts
@@ -19,6 +19,7 @@
   new Gauge({ name: 'tanagerusher_catalogue_proof_age_ms', help: 'Time since the catalogue was proven to be the newest', registers })
     .set(catalogue.replica.readConfirmationAgeMs(clock.readTime()))
   addCopies(registry, services)
+  addUnusableEntries(registry, services)
   addEvacuations(registry, metrics, services)
   const work = new Gauge({ name: 'tanagerusher_database_work', help: 'Work at the databases whose connections this host holds', labelNames: ['database', 'state'], registers })
   for (const { record, load, openTransactions } of owners.all) {
@@ -61,6 +62,12 @@
   }
 }
 
+/** Adds the entries of the store that cannot be decoded, with the reasons. */
+function addUnusableEntries (registry: Registry, { unusableEntries }: HostServices): void {
+  const gauge = new Gauge({ name: 'tanagerusher_unusable_entries', help: 'Entries of the store that cannot be decoded and are left out', labelNames: ['kind', 'name', 'reason'], registers: [registry] })
+  for (const { kind, all } of unusableEntries) for (const { name, reason } of all) gauge.set({ kind, name, reason }, 1)
+}
+
 /** Adds the evacuated data centres, where evacuations are followed. */
 function addEvacuations (registry: Registry, { evacuationRefusals }: HostMetrics, { evacuations }: HostServices): void {
   if (evacuations === undefined) return
--- a/packages/host/src/store/fleet-task.ts
+++ b/packages/host/src/store/fleet-task.ts
@@ -11,6 +11,7 @@
 import { ObjectWatcher } from './object-watcher.js'
 import type { RelaySelector } from './relay-selector.js'
 import type { StoreRetries } from './store-retries.js'
+import { UnusableEntries } from './unusable-entries.js'
 
 interface CreateOptions {
   store: ObjectStore
@@ -38,6 +39,7 @@
 export class FleetTask {
   readonly #options: CreateOptions
   readonly watcher: ObjectWatcher
+  readonly unusable: UnusableEntries
   readonly #records = new Map<string, { record: HostRecord, revision: number }>()
   /** Time at which the write of this host's record succeeded; undefined while the record may be missing. */
   #registeredAt: number | undefined
@@ -48,6 +50,7 @@
     const { store, relays, retries, clock, logger, self, watchMs } = options
     this.#options = options
     this.#records.set(self.host, { record: self, revision: 0 })
+    this.unusable = UnusableEntries.create({ kind: fleetObjects.kind, logger })
     this.watcher = ObjectWatcher.create({
       store,
       kind: fleetObjects.kind,
@@ -124,15 +127,17 @@
   }
 
   #handleChanged (changed: readonly StoreObject[], removed: readonly string[]): void {
-    const { self, logger, handleHosts, handleClaim } = this.#options
+    const { self, handleHosts, handleClaim } = this.#options
     for (const name of removed) {
+      this.unusable.remove(name)
       const host = fleetObjects.parseHostName(name)
       if (host === undefined) continue
       if (host !== self.host) this.#records.delete(host)
       else if (!this.#isLeaving) void this.#register()
     }
     const { hosts, claims, unreadable } = parseFleetObjects(changed)
-    if (unreadable.length > 0) logger.warn('fleet objects cannot be parsed', { names: unreadable })
+    for (const { name } of changed) this.unusable.remove(name)
+    for (const { name, revision, reason } of unreadable) this.unusable.record(name, revision, reason)
     for (const { record, revision } of hosts) this.#applyRecord(record, revision)
     for (const { group, claim, revision } of claims) handleClaim(group, claim, revision)
     handleHosts([...this.#records.values()].map(({ record }) => record).filter(({ isLeaving }) => isLeaving !== true))
--- a/packages/host/src/store/upstreams-task.ts
+++ b/packages/host/src/store/upstreams-task.ts
@@ -7,12 +7,16 @@
 import { ObjectWatcher } from './object-watcher.js'
 import type { RelaySelector } from './relay-selector.js'
 import type { StoreRetries } from './store-retries.js'
+import { UnusableEntries } from './unusable-entries.js'
 
 interface CreateOptions {
   store: ObjectStore
   /** Kind under which databases register. */
   kind: string
-  decode: (object: StoreObject) => UpstreamRecord | undefined
+  /** Reduces the value of an entry to what `decode` reads. */
+  compact: (value: unknown) => unknown
+  /** Calls `handleInvalid` with the reason when the entry describes no usable database. */
+  decode: (object: StoreObject, handleInvalid: (reason: string) => void) => UpstreamRecord | undefined
   relays: RelaySelector
   retries: StoreRetries
   clock: Clock
@@ -30,13 +34,16 @@
   readonly directory = UpstreamDirectory.create()
   readonly #options: CreateOptions
   readonly watcher: ObjectWatcher
+  readonly unusable: UnusableEntries
 
   private constructor (options: CreateOptions) {
-    const { store, kind, relays, retries, clock, logger } = options
+    const { store, kind, compact, relays, retries, clock, logger } = options
     this.#options = options
+    this.unusable = UnusableEntries.create({ kind, logger })
     this.watcher = ObjectWatcher.create({
       store,
       kind,
+      compact,
       waitMs: WATCH_WAIT_MS,
       relays,
       retries,
@@ -61,22 +68,21 @@
   #handleChanged (changed: readonly StoreObject[], removed: readonly string[], source: string): void {
     const { logger, clock } = this.#options
     for (const name of removed) {
+      this.unusable.remove(name)
       this.#options.handleRemoved(name)
       this.directory.remove(name, this.watcher.findRecoveryTime(), clock.readTime())
       logger.info('directory changed', { database: name, isRemoved: true, source })
     }
     for (const object of changed) {
-      const record = this.#decode(object)
-      if (record !== undefined) this.#options.handleEntry(record)
-      if (record === undefined) this.directory.remove(object.name, undefined, clock.readTime())
-      else this.directory.applyRecord(record, clock.readTime())
-      logger.info('directory changed', { database: object.name, revision: object.revision, group: record?.group, isLeaving: record?.isLeaving, claimsPrimary: record?.claimsPrimary, source })
+      const record = this.#options.decode(object, (reason) => { this.unusable.record(object.name, object.revision, reason) })
+      if (record === undefined) {
+        this.directory.remove(object.name, undefined, clock.readTime())
+        continue
+      }
+      this.unusable.remove(object.name)
+      this.#options.handleEntry(record)
+      this.directory.applyRecord(record, clock.readTime())
+      logger.info('directory changed', { database: record.id, revision: record.revision, group: record.group, isLeaving: record.isLeaving, claimsPrimary: record.claimsPrimary, source })
     }
   }
-
-  #decode (object: StoreObject): UpstreamRecord | undefined {
-    const record = this.#options.decode(object)
-    if (record === undefined) this.#options.logger.warn('directory entry cannot be decoded', { database: object.name, revision: object.revision })
-    return record
-  }
 }
--- a/packages/host/src/upstream/connection-pool.ts
+++ b/packages/host/src/upstream/connection-pool.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@tanagerusher/coordination/common/clock'
-import type { UpstreamConnector } from '@tanagerusher/coordination/common/upstream-connector'
+import type { UpstreamConnector, UpstreamOpenResult } from '@tanagerusher/coordination/common/upstream-connector'
+import type { UpstreamTarget } from '@tanagerusher/coordination/common/upstream-target'
 import { ConnectionCap } from '@tanagerusher/coordination/fairness/connection-cap'
 import { ConnectionSetup } from '@tanagerusher/coordination/transaction/connection-setup'
 import { planConnection } from '@tanagerusher/coordination/transaction/plan-connection'
@@ -163,7 +164,7 @@
   async #open (organisation: string): Promise<void> {
     this.#openingCounts.set(organisation, (this.#openingCounts.get(organisation) ?? 0) + 1)
     const { id, group, address } = this.#record
-    const opening = await this.#connector.open({ id, group, address, organisation }, OPEN_TIMEOUT_MS)
+    const opening = await this.#connect({ id, group, address, organisation })
     this.#openingCounts.set(organisation, (this.#openingCounts.get(organisation) as number) - 1)
     if (opening.type === 'opened') {
       const pooled: PooledConnection = { connection: opening.connection, organisation, setup: ConnectionSetup.create(), isIdle: true, usedAt: this.#clock.readTime() }
@@ -181,6 +182,15 @@
     this.#serveWaiters()
   }
 
+  /** A connector that throws, as for an address that the operating system rejects, must not end the process or leave the waiters waiting. */
+  async #connect (target: UpstreamTarget): Promise<UpstreamOpenResult> {
+    try {
+      return await this.#connector.open(target, OPEN_TIMEOUT_MS)
+    } catch (error) {
+      return { type: 'unreachable', reason: String((error as Error).message) }
+    }
+  }
+
   /**
    * Serves the waiters again each time the cap grows. They keep waiting while the database refuses further connections, since one
    * may become idle in the meantime.
