Search leaving and missing databases for acknowledged commits before a promotion

Callers lost about 90 acknowledged commits: with sync-replicas 1 a replica that had received nothing was promoted, although a draining one ran and had them all.

Cause: FailoverTask took leaving databases out of the candidates, and the candidates were all that the search for the newest commit asked. The trace of the case shows STATUS and PAUSE at the deaf replica only.

Where replicas acknowledge commits and the primary does not respond, the search now also asks databases that leave, that count as leaving because their data centre is evacuated, or whose entry was removed within 60 s. A leaving one is promoted only for its position. One that does not respond is awaited for 5 s. The replicas are paused in parallel, and a log line has each database with its position.

--- a/packages/checker/src/leases/lease-host.ts
+++ b/packages/checker/src/leases/lease-host.ts
@@ -247,6 +247,7 @@
       registry: registry as never,
       router: router as never,
       listRecords: () => simulation.listRecords(),
+      listDeparted: () => [],
       isEvacuated: () => false,
       isCold: () => false,
       findCatalogue: () => catalogue as never,
--- a/packages/coordination/src/membership/upstream-directory.ts
+++ b/packages/coordination/src/membership/upstream-directory.ts
@@ -16,6 +16,8 @@
   restoredRevision?: number
 }
 
+interface RemovedEntry { record: UpstreamRecord, leftAt: number }
+
 interface ExpiredEntry { record: UpstreamRecord, retainedUntil: number }
 
 /**
@@ -27,6 +29,8 @@
 export class UpstreamDirectory {
   readonly #records = new Map<string, UpstreamRecord>()
   readonly #expired = new Map<string, ExpiredEntry>()
+  /** Databases without an entry, by id, with the last one. */
+  readonly #removed = new Map<string, RemovedEntry>()
   /** Databases that were leaving or had left, by id. */
   readonly #departures = new Map<string, Departure>()
 
@@ -39,12 +43,14 @@
     this.#recordDeparture(received, now)
     this.#records.set(record.id, record)
     this.#expired.delete(record.id)
+    this.#removed.delete(record.id)
   }
 
   remove (id: string, storeRecoveredAt: number | undefined, now: number): void {
     const record = this.#records.get(id)
     this.#records.delete(id)
     if (record === undefined) return
+    this.#removed.set(id, { record, leftAt: now })
     this.#recordDeparture(record, now)
     this.#addExpired(record, storeRecoveredAt, now)
   }
@@ -58,6 +64,12 @@
     return this.listAll(now).filter((record) => record.group === group)
   }
 
+  /** Databases of a group whose entry was removed within the retention time. They may still run, for example without a path to the store. */
+  listDeparted (group: string, now: number): RemovedEntry[] {
+    for (const [id, { leftAt }] of this.#removed) if (now - leftAt > DEPARTURE_RETENTION_MS) this.#removed.delete(id)
+    return [...this.#removed.values()].filter(({ record }) => record.group === group && this.find(record.id, now) === undefined)
+  }
+
   listAll (now: number): UpstreamRecord[] {
     for (const [id, { retainedUntil }] of this.#expired) if (retainedUntil <= now) this.#expired.delete(id)
     return [...this.#records.values(), ...[...this.#expired.values()].map(({ record }) => record)]
--- a/packages/coordination/test/failover/promotion-decisions.test.ts
+++ b/packages/coordination/test/failover/promotion-decisions.test.ts
@@ -4,6 +4,7 @@
 import { chooseSuccessor } from '../../src/failover/choose-successor.js'
 import { ClaimTakeoverPolicy } from '../../src/failover/claim-takeover-policy.js'
 import type { PromotionClaim } from '../../src/failover/promotion-claim.js'
+import { listCommitHolders } from '../../src/failover/list-commit-holders.js'
 import { LeaderView } from '../../src/failover/leader-view.js'
 
 function buildRecord (id: string, claimsPrimary: boolean, revision = 1): UpstreamRecord {
@@ -37,6 +38,33 @@
   assert.equal(chooseSuccessor({ candidates, syncReplicas: 0, leaderDataCentre: 'a' }).type, 'chosen')
 })
 
+// Guards against the loss of commits that only a leaving replica has received, and against a group without a primary because it ended.
+test('chooses a leaving replica only for its position, and stops waiting for it after a limit', () => {
+  const leaving = (position: number | undefined, isAwaited = true) => ({ ...buildCandidate('leaving', position), isLeaving: true, isAwaited })
+  const choose = (holder: ReturnType<typeof leaving>): string | false => {
+    const successor = chooseSuccessor({ candidates: [holder, { ...buildCandidate('stays', 9, 'b'), isLeaving: false, isAwaited: true }], syncReplicas: 1, leaderDataCentre: 'a' })
+    return successor.type === 'chosen' && successor.candidate.id
+  }
+  assert.equal(choose(leaving(10)), 'leaving')
+  assert.equal(choose(leaving(9)), 'stays')
+  assert.equal(choose(leaving(undefined)), false)
+  assert.equal(choose(leaving(undefined, false)), 'stays')
+})
+
+test('databases that leave or are missing from the directory are asked for their commits, and awaited for 5 s', () => {
+  const ready = { ...buildRecord('ready', false), address: '127.0.0.1:2' }
+  const leaving = { ...buildRecord('leaving', false), address: '127.0.0.1:3', isLeaving: true }
+  const missing = { ...buildRecord('missing', false), address: '127.0.0.1:4' }
+  const replaced = { ...buildRecord('replaced', false), address: ready.address }
+  const formerPrimary = { ...buildRecord('former', true), address: '127.0.0.1:5' }
+  const primary = buildRecord('primary', true)
+  const departed = [missing, replaced, formerPrimary].map((record) => ({ record, leftAt: 1000 }))
+  const list = (now: number) => listCommitHolders({ records: [primary, ready, leaving], departed, candidates: [ready], leaderId: 'primary', searchStartedAt: 2000, now }).map(({ record, isAwaited }) => [record.id, isAwaited])
+  assert.deepEqual(list(3000), [['leaving', true], ['missing', true]])
+  assert.deepEqual(list(6500), [['leaving', true], ['missing', false]])
+  assert.deepEqual(list(7500), [['leaving', false], ['missing', false]])
+})
+
 test("respects another host's claim until it has ended or has not changed for 3 s, so that hosts do not replace each other's claims", () => {
   const policy = ClaimTakeoverPolicy.create('me')
   const claim: PromotionClaim = { host: 'h2', incarnation: 'other', sequence: 1, phase: 'claimed' }
--- a/packages/coordination/test/membership/upstream-directory.test.ts
+++ b/packages/coordination/test/membership/upstream-directory.test.ts
@@ -27,6 +27,21 @@
   assert.equal(directory.find('d1', 60_000), undefined)
 })
 
+// Guards against a search for the newest commit that leaves out a database which runs without a path to the store.
+test('a removed entry is listed as departed until it is back or its retention time has passed', () => {
+  const directory = UpstreamDirectory.create()
+  directory.applyRecord(record, 0)
+  assert.deepEqual(directory.listDeparted('g', 50), [])
+  directory.remove('d1', undefined, 100)
+  assert.deepEqual(directory.listDeparted('g', 200).map(({ record: { id }, leftAt }) => [id, leftAt]), [['d1', 100]])
+  assert.deepEqual(directory.listDeparted('other', 200), [])
+  assert.deepEqual(directory.listDeparted('g', 70_000), [])
+  directory.applyRecord(record, 70_100)
+  directory.remove('d1', undefined, 70_200)
+  directory.applyRecord(record, 70_300)
+  assert.deepEqual(directory.listDeparted('g', 70_400), [])
+})
+
 test('owner candidates are hosts of the data centre, then of the region, then all others, in the same order on every host', () => {
   const hosts = ['a', 'a', 'b', 'c'].map((dataCentre, index): HostRecord => ({
     host: `h${index}`, incarnation: 'i', address: '127.0.0.1', port: 1, dataCentre, region: dataCentre === 'c' ? 'far' : 'near'
--- a/packages/host/src/failover/failover-task.ts
+++ b/packages/host/src/failover/failover-task.ts
@@ -1,6 +1,8 @@
 import { ClaimTakeoverPolicy } from '@tanagerusher/coordination/failover/claim-takeover-policy'
 import { InFlightPromotionCalls } from '@tanagerusher/coordination/failover/in-flight-promotion-calls'
 import type { PrimaryLeases } from '@tanagerusher/coordination/failover/primary-leases'
+import type { CommitHolder } from '@tanagerusher/coordination/failover/commit-holder'
+import { listCommitHolders } from '@tanagerusher/coordination/failover/list-commit-holders'
 import type { LeaderView } from '@tanagerusher/coordination/failover/leader-view'
 import { computeRendezvousOrder } from '@tanagerusher/coordination/membership/compute-rendezvous-order'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
@@ -26,6 +28,8 @@
   registry: OwnerRegistry
   router: OwnerRouter
   listRecords: (group: string) => UpstreamRecord[]
+  /** Databases of the group that left the directory recently. */
+  listDeparted: (group: string) => Array<{ record: UpstreamRecord, leftAt: number }>
   /** Whether the data centre of the database is evacuated. */
   isEvacuated: (record: UpstreamRecord) => boolean
   isCold: (record: UpstreamRecord) => boolean
@@ -65,6 +69,8 @@
   readonly #watchedAt = new Map<string, number>()
   /** By group: whether this host is responsible for it or among the `STANDBY_HOSTS` next in its order. */
   readonly #isStandby = new Map<string, boolean>()
+  /** By group: time since which this host has searched for a successor of an unresponsive primary. */
+  readonly #searchStartedAt = new Map<string, number>()
   #timer: NodeJS.Timeout | undefined
   #isClosed = false
 
@@ -107,7 +113,10 @@
     const leader = leaders.findLeader(group, records)
     if (records.length === 0) return
     if (await this.#resumePromotion(group, records)) return
-    if (!this.#isResponsible(group, leader)) return
+    if (!this.#isResponsible(group, leader)) {
+      this.#searchStartedAt.delete(group)
+      return
+    }
     const successors = records.filter(({ id, isLeaving }) => id !== leader?.id && !isLeaving)
     if (leader === undefined) return await this.#promote(group, undefined, successors, false)
     const owner = registry.find(leader)
@@ -116,7 +125,10 @@
     const isResponsive = !isEvacuated(leader) || hasResponded() || await owner.probe()
     if (leader.isLeaving && successors.length > 0 && isResponsive) return await this.#promote(group, leader, successors, true)
     if (isResponsive && !hasResponded()) await owner.probe()
-    if (!owner.health.isSuspect) return
+    if (!owner.health.isSuspect) {
+      this.#searchStartedAt.delete(group)
+      return
+    }
     if (await this.#isReachableFromOthers(leader)) {
       this.#options.logger.info('primary is reachable from other hosts', { group, database: leader.id })
       this.#postpone(group)
@@ -190,26 +202,36 @@
 
   async #promote (group: string, leader: UpstreamRecord | undefined, candidates: readonly UpstreamRecord[], isPlanned: boolean): Promise<void> {
     const { leaders, links, registry, findCatalogue, isCold, self, adapter, leases, claimHandler, findRestoreTime, countSuspensions, clock, logger } = this.#options
-    if (candidates.length === 0) return
+    const syncReplicas = findCatalogue()?.groups.get(group)?.syncReplicas ?? 0
+    const holders = isPlanned || syncReplicas === 0 ? [] : this.#listHolders(group, leader, candidates)
+    if (candidates.length + holders.length === 0) return
     if (leader !== undefined && this.#inFlightCalls?.findInFlightDatabase(group, clock.readTime()) === leader.id) {
       logger.info('promotion waits', { group, leader: leader.id, reason: 'an earlier promotion call for the current leader may still take effect' })
       this.#postpone(group)
       return
     }
-    const syncReplicas = findCatalogue()?.groups.get(group)?.syncReplicas ?? 0
     const claimHolder = ClaimHolder.create({ group, self, store: adapter.store, takeoverPolicy: this.#takeoverPolicy, inFlightCalls: this.#inFlightCalls, findKnownClaim: () => leases.findClaim(group)?.claim, clock, logger })
     const releaseCollector = LeaseReleaseCollector.create({ group, self, links, limitMs: leases.limitMs, findRestoreTime, claimHandler, clock, logger })
-    const outcome = await PromotionRun.create({ group, leader, isPlanned, candidates, syncReplicas, isCold, self, adapter, registry, claimHolder, releaseCollector, inFlightCalls: this.#inFlightCalls, countSuspensions, clock, logger }).run()
+    const outcome = await PromotionRun.create({ group, leader, isPlanned, candidates, holders, syncReplicas, isCold, self, adapter, registry, claimHolder, releaseCollector, inFlightCalls: this.#inFlightCalls, countSuspensions, clock, logger }).run()
     if (claimHolder.claim !== undefined) await claimHandler.release(group, claimHolder.claim, claimHolder.revision, 0)
     if (outcome.type === 'given-up') {
       logger.info('promotion given up', { group, reason: outcome.reason })
       this.#postpone(group)
       return
     }
+    this.#searchStartedAt.delete(group)
     if (leader !== undefined && leader.id !== outcome.id) leaders.recordRefusal(leader)
     leaders.recordAppointment(group, outcome.id, outcome.term)
   }
 
+  #listHolders (group: string, leader: UpstreamRecord | undefined, candidates: readonly UpstreamRecord[]): CommitHolder[] {
+    const { listRecords, listDeparted, clock } = this.#options
+    const now = clock.readTime()
+    const searchStartedAt = this.#searchStartedAt.get(group) ?? now
+    this.#searchStartedAt.set(group, searchStartedAt)
+    return listCommitHolders({ records: listRecords(group), departed: listDeparted(group), candidates, leaderId: leader?.id, searchStartedAt, now })
+  }
+
   #postpone (group: string): void {
     this.#nextCheckAt.set(group, this.#options.clock.readTime() + RETRY_DELAY_MS)
   }
--- a/packages/host/src/failover/promotion-run.ts
+++ b/packages/host/src/failover/promotion-run.ts
@@ -1,6 +1,7 @@
 import { CallPermit } from '@tanagerusher/coordination/failover/call-permit'
 import { chooseSuccessor } from '@tanagerusher/coordination/failover/choose-successor'
 import type { InFlightPromotionCalls } from '@tanagerusher/coordination/failover/in-flight-promotion-calls'
+import type { CommitHolder } from '@tanagerusher/coordination/failover/commit-holder'
 import type { PromotionClaim } from '@tanagerusher/coordination/failover/promotion-claim'
 import type { Clock } from '@tanagerusher/coordination/common/clock'
 import type { PlatformAdapter } from '@tanagerusher/coordination/common/platform-adapter'
@@ -21,6 +22,8 @@
   /** The primary still leads and must hand over without losing a commit. */
   isPlanned: boolean
   candidates: readonly UpstreamRecord[]
+  /** Further databases whose positions decide where replicas acknowledge commits and the primary does not respond. */
+  holders: readonly CommitHolder[]
   syncReplicas: number
   isCold: (record: UpstreamRecord) => boolean
   self: HostRecord
@@ -35,6 +38,16 @@
   logger: Logger
 }
 
+interface ReplicaState {
+  id: string
+  dataCentre: string
+  isCold: boolean
+  isLeaving: boolean
+  isAwaited: boolean
+  record: UpstreamRecord
+  status: UpstreamStatus | undefined
+}
+
 type Outcome = { type: 'promoted', id: string, term: number } | { type: 'given-up', reason: string }
 
 const PROMOTE_TIMEOUT_MS = 3000
@@ -107,8 +120,9 @@
   }
 
   async #promoteBest (): Promise<Outcome> {
-    const { candidates, syncReplicas, leader, isPlanned, inFlightCalls, group, clock } = this.#options
-    const replicas = await this.#readReplicaStatuses(candidates)
+    const { candidates, holders, syncReplicas, leader, isPlanned, inFlightCalls, group, clock } = this.#options
+    const replicas = await this.#readReplicaStatuses([...candidates.map((record) => ({ record, isAwaited: true })), ...holders])
+    this.#logReplicas(replicas)
     const calledDatabase = inFlightCalls?.findInFlightDatabase(group, clock.readTime())
     const successor = chooseSuccessor({ candidates: calledDatabase === undefined ? replicas : replicas.filter(({ id }) => id === calledDatabase), syncReplicas, leaderDataCentre: leader?.dataCentre })
     if (successor.type === 'none') return { type: 'given-up', reason: calledDatabase === undefined ? successor.reason : `${calledDatabase} does not respond, and a call for it may still take effect` }
@@ -117,15 +131,25 @@
     return await this.#promote(record)
   }
 
-  async #readReplicaStatuses (records: readonly UpstreamRecord[]): Promise<Array<{ id: string, dataCentre: string, isCold: boolean, record: UpstreamRecord, status: UpstreamStatus | undefined }>> {
+  async #readReplicaStatuses (replicas: readonly CommitHolder[]): Promise<ReplicaState[]> {
     const { syncReplicas, isPlanned, isCold } = this.#options
-    const statuses = await Promise.all(records.map(async (record) => await this.#runCommand(record, { type: 'status' })))
+    const records = replicas.map(({ record }) => record)
+    let statuses = await Promise.all(records.map(async (record) => await this.#runCommand(record, { type: 'status' })))
     // Where replicas acknowledge commits, none may acknowledge one after its position was read, so they stop receiving first.
     if (syncReplicas > 0 && !isPlanned) {
       const term = Math.max(0, ...statuses.map((status) => status?.term ?? 0)) + 1
-      for (const [index, record] of records.entries()) statuses[index] = await this.#runCommand(record, { type: 'pause', term })
+      statuses = await Promise.all(records.map(async (record) => await this.#runCommand(record, { type: 'pause', term })))
     }
-    return records.map((record, index) => ({ id: record.id, dataCentre: record.dataCentre, isCold: isCold(record), record, status: statuses[index] }))
+    return replicas.map(({ record, isAwaited }, index) => ({ id: record.id, dataCentre: record.dataCentre, isCold: isCold(record), isLeaving: record.isLeaving, isAwaited, record, status: statuses[index] }))
+  }
+
+  #logReplicas (replicas: readonly ReplicaState[]): void {
+    const { logger, group } = this.#options
+    logger.info('replicas were asked for their positions', {
+      group, replicas: replicas.map(({ id, isLeaving, isAwaited, status }) => ({ id, isLeaving, isAwaited, term: status?.position.term, position: status?.position.position }))
+    })
+    const ignored = replicas.filter(({ status, isAwaited }) => status === undefined && !isAwaited)
+    if (ignored.length > 0) logger.warn('successor is chosen without databases that may hold acknowledged commits', { group, databases: ignored.map(({ id }) => id) })
   }
 
   async #runCommand (record: UpstreamRecord, command: UpstreamCommand): Promise<UpstreamStatus | undefined> {
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -182,7 +182,7 @@
   })
   const claimRestorer: ClaimRestorer = ClaimRestorer.create({ store: adapter.store, leases, relays, findStored: (name) => fleet.watcher.findObject(name), readCopyRevision: () => fleet.watcher.copyRevision, logger })
   const failover = FailoverTask.create({
-    self, adapter, leaders, links, registry, router, listRecords, isEvacuated, isCold: (record) => warmup.isCold(record), findCatalogue: () => catalogue.replica.catalogue, leases, claimHandler, findRestoreTime: (revision) => fleet.watcher.findRestoreTime(revision), countSuspensions: () => clock.countSuspensions(), clock, logger
+    self, adapter, leaders, links, registry, router, listRecords, listDeparted: (group) => upstreams.directory.listDeparted(group, clock.readTime()), isEvacuated, isCold: (record) => warmup.isCold(record), findCatalogue: () => catalogue.replica.catalogue, leases, claimHandler, findRestoreTime: (revision) => fleet.watcher.findRestoreTime(revision), countSuspensions: () => clock.countSuspensions(), clock, logger
   })
   let isLeaving = false
   let areLeasesReleased = false
