Take only writes, plain BEGINs and commits of writes for a proof that a database leads

Callers of entries with a staleness bound read from a former primary whose log lacked commits acknowledged up to 2 s before, with a bound of 1.5 s, for 1.5 s after a COMMIT at their host.

Cause: DatabaseOwner.#commit passed the position of every successful COMMIT of a transaction on the primary on as that of the primary. The COMMIT of a transaction that wrote nothing succeeds also on a database that has lost the lead, so the old position served as one of the present primary.

The COMMIT of a transaction without a write confirms nothing now, and does not raise the session's position either, which a promotion may have rolled back. A planned change of primary uses the STATUS of the old primary only while it says that it leads.

--- a/packages/host/src/caller/caller-task.ts
+++ b/packages/host/src/caller/caller-task.ts
@@ -180,7 +180,7 @@
     if (allowed === undefined) return
     const session = `${this.#name}#${++this.#transactionCount}`
     this.#transaction = {
-      session, entry: allowed.entry, organisation: allowed.organisation ?? PUBLIC_ORGANISATION, isReadOnly, location: undefined, failure: undefined
+      session, entry: allowed.entry, organisation: allowed.organisation ?? PUBLIC_ORGANISATION, isReadOnly, hasWritten: false, location: undefined, failure: undefined
     }
     this.#session.state = 'transaction'
     this.#writeLocalResult()
@@ -202,7 +202,8 @@
     }
     const { answer, wasSent } = result
     if (answer.type === 'done') {
-      this.#session.recordCommit(answer.position, this.#services.clock.readTime())
+      // Without a write the response may come from a replaced primary, whose position later reads could wait for in vain.
+      if (transaction.hasWritten) this.#session.recordCommit(answer.position, this.#services.clock.readTime())
       this.#write(this.#codec.formatDone(answer.rows, answer.proof, 'idle', answer.position))
       return
     }
@@ -255,6 +256,7 @@
       this.#failStatement(id, 'not-primary', 'the transaction only reads')
       return
     }
+    transaction.hasWritten ||= access === 'write'
     const answer = await this.#runStatement(transaction, { id, text, access, needed })
     if (answer.type === 'done') {
       this.#write(this.#codec.formatDone(answer.rows, answer.proof, 'transaction', answer.position))
--- a/packages/host/src/caller/open-transaction.ts
+++ b/packages/host/src/caller/open-transaction.ts
@@ -8,6 +8,8 @@
   entry: CatalogueEntry
   organisation: string
   isReadOnly: boolean
+  /** Whether a write of the transaction was sent. */
+  hasWritten: boolean
   /** Database and host to which the transaction is pinned; undefined until its first statement has run. */
   location: TransactionLocation | undefined
   /** Reason why the transaction can only be rolled back; undefined while it can continue. */
--- a/packages/host/src/failover/promotion-run.ts
+++ b/packages/host/src/failover/promotion-run.ts
@@ -171,8 +171,9 @@
     let targetStatus: UpstreamStatus | undefined
     while (clock.readTime() < deadline) {
       const [primaryStatus, replicaStatus] = await Promise.all([targetStatus ?? this.#runCommand(leader, { type: 'status' }), this.#runCommand(replica, { type: 'status' })])
-      targetStatus = primaryStatus
-      if (primaryStatus !== undefined && replicaStatus !== undefined && replicaStatus.position.position >= primaryStatus.position.position) return true
+      // A database that has lost the lead also responds; its position does not show what the replica must have.
+      if (primaryStatus?.isPrimary === true) targetStatus = primaryStatus
+      if (targetStatus !== undefined && replicaStatus !== undefined && replicaStatus.position.position >= targetStatus.position.position) return true
       await delay(CATCH_UP_POLL_INTERVAL_MS)
     }
     return false
--- a/packages/host/src/upstream/database-control.ts
+++ b/packages/host/src/upstream/database-control.ts
@@ -67,6 +67,10 @@
     if (pool.size > 0) void this.probe()
   }
 
+  /**
+   * Records what the response to a write, to a plain BEGIN or to the COMMIT of writes shows. No other response does: reads, STATUS and the
+   * COMMIT of a transaction that wrote nothing succeed also on a database that is no longer the primary.
+   */
   recordLeadership (answer: StatementResponse, sentAt: number): void {
     const { record, events, logger } = this.#options
     if (answer.type === 'done' && answer.position !== undefined) events.handleLeaderConfirmation(record, answer.position, sentAt)
--- a/packages/host/src/upstream/database-owner.ts
+++ b/packages/host/src/upstream/database-owner.ts
@@ -298,7 +298,8 @@
     if (result.answer.type === 'done') {
       this.#transactions.delete(params.session)
       this.#pool.release(transaction.pooled)
-      if (transaction.isOnPrimary && result.answer.position !== undefined) this.#events.handleLeaderConfirmation(this.#record, result.answer.position, sentAt)
+      // The COMMIT of a transaction that wrote nothing succeeds also on a database that is no longer the primary.
+      if (transaction.isOnPrimary && transaction.hasWritten) this.#control.recordLeadership(result.answer, sentAt)
     } else this.#rollback(params.session)
     return result
   }
