Respond to every request that a stopping host has read

Callers of an organisation over its rate lost their connections without a response in the last 0.4 s of a host's grace period, 200 to 360 ms after they had sent a request that reached no database.

Cause: the deadline for responses of HostShutdown limited only the work after the admission. The wait for a token took up to 300 ms more, and a leaving host accrues none. The record of the case shows the requests without a run at any database.

All waits of a stopping host end before that deadline now: token, catalogue after START, slot, connection, BEGIN, link to another owner and its response. The waits of one operation at its owner share one deadline, where each had the whole time. No transaction continues after half of the grace period, also when its caller never pauses, and one that the host aborted is reported as aborted, not as malformed. Work of other hosts that waits at the stopping owner is refused as not run. "stop ends" counts the requests in flight.

--- a/packages/host/src/caller/caller-server.ts
+++ b/packages/host/src/caller/caller-server.ts
@@ -33,6 +33,8 @@
 
   get port (): number { return (this.#server.address() as AddressInfo).port }
   get size (): number { return this.#tasks.size }
+  /** Number of callers that wait for a response. */
+  get requestsInFlight (): number { return [...this.#tasks].filter((task) => task.isRunning).length }
   get openTransactions (): number { return [...this.#tasks].filter((task) => task.isInTransaction).length }
 
   /** Closes the sessions that have no request in flight and no open transaction. */
--- a/packages/host/src/caller/caller-services.ts
+++ b/packages/host/src/caller/caller-services.ts
@@ -17,4 +17,6 @@
   checkClocks: () => void
   /** Returns the time by which the last response must be written when the host is stopping, otherwise undefined. */
   findResponseDeadline: () => number | undefined
+  /** Returns the time after which no transaction continues or begins when the host is stopping, otherwise undefined. */
+  findTransactionDeadline: () => number | undefined
 }
--- a/packages/host/src/caller/caller-task.ts
+++ b/packages/host/src/caller/caller-task.ts
@@ -1,5 +1,4 @@
 import type { Socket } from 'node:net'
-import { chooseTokenWaitMs } from '@tanagerusher/coordination/budget/choose-token-wait-ms'
 import type { CallerCheck } from '@tanagerusher/coordination/catalogue/catalogue-replica'
 import type { CallerCodec, CallerMessage } from '@tanagerusher/coordination/common/caller-codec'
 import { decideTransactionFailure } from '@tanagerusher/coordination/outcome/decide-transaction-failure'
@@ -9,9 +8,11 @@
 import type { StatementResponse } from '@tanagerusher/state/upstream/statement-response'
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
 import type { CallerServices } from './caller-services.js'
+import { describeCallerRefusal } from './describe-caller-refusal.js'
 import type { OpenTransaction } from './open-transaction.js'
 import type { SingleStatement } from './single-statement.js'
 import type { OperationContext } from './operation-context.js'
+import { takeToken } from './take-token.js'
 
 interface CreateOptions {
   socket: Socket
@@ -35,6 +36,7 @@
 /** Proof in the response to a statement that the host completes without a database. */
 const NO_PROOF = '-'
 const PUBLIC_ORGANISATION = '-'
+const STOPPING_REASON = 'the host stops'
 
 /** Handles one caller connection: runs its statements in order and writes a response to each. Owns the socket and the session. */
 export class CallerTask {
@@ -75,6 +77,7 @@
 
   /** Whether no request is in flight and no transaction is open. */
   get isIdle (): boolean { return !this.#isRunning && this.#messages.length === 0 && this.#transaction === undefined }
+  get isRunning (): boolean { return this.#isRunning }
   get isInTransaction (): boolean { return this.#transaction !== undefined }
 
   /** Closes the session if it is idle. Requests that have arrived by now are read first; later ones are not run. */
@@ -86,11 +89,12 @@
     })
   }
 
-  /** Rolls the open transaction back; the caller's next statement in it is refused. */
+  /** Rolls the open transaction back. The response to the caller's next statement in it is that it was aborted. */
   abortTransaction (reason: string): void {
     const transaction = this.#transaction
     if (transaction === undefined || transaction.failure !== undefined || this.#isRunning) return
-    this.#failTransaction(transaction, reason)
+    transaction.failure = reason
+    this.#releaseTransaction(transaction)
   }
 
   close (): void {
@@ -134,7 +138,7 @@
 
   async #handleStart (database: string, key: string | undefined): Promise<void> {
     const { clock, logger } = this.#services
-    const deadline = clock.readTime() + START_WAIT_MS
+    const deadline = Math.min(clock.readTime() + START_WAIT_MS, this.#services.findResponseDeadline() ?? Infinity)
     let check = this.#checkCaller(database, key)
     while (check.type === 'refused' && check.reason === 'stale' && clock.readTime() < deadline) {
       await new Promise((resolve) => setTimeout(resolve, START_CHECK_INTERVAL_MS))
@@ -145,7 +149,7 @@
       this.#write(this.#codec.formatReady('idle', undefined))
       return
     }
-    const { failure, text } = describeRefusal(check.reason)
+    const { failure, text } = describeCallerRefusal(check.reason)
     logger.info('session refused', { session: this.#name, database, failure, version: this.#services.catalogue.version })
     this.#refuseConnection(failure, text)
   }
@@ -172,10 +176,8 @@
   }
 
   async #handleBegin (id: string, isReadOnly: boolean): Promise<void> {
-    if (this.#session.state !== 'idle') {
-      this.#writeFailure(id, 'malformed', 'a transaction is open')
-      return
-    }
+    if (this.#session.state !== 'idle') return this.#writeFailure(id, 'malformed', 'a transaction is open')
+    if (this.#areTransactionsOver) return this.#writeFailure(id, 'busy', STOPPING_REASON)
     const allowed = await this.#admitStatement(id)
     if (allowed === undefined) return
     const session = `${this.#name}#${++this.#transactionCount}`
@@ -192,6 +194,7 @@
       this.#writeFailure(id, 'malformed', 'no transaction is open')
       return
     }
+    if (this.#areTransactionsOver) transaction.failure ??= STOPPING_REASON
     const result = transaction.failure === undefined ? await this.#commit(transaction, id) : undefined
     this.#transaction = undefined
     this.#session.state = 'idle'
@@ -245,9 +248,11 @@
   }
 
   async #runInTransaction (transaction: OpenTransaction, { id, text, access, needed }: SingleStatement): Promise<void> {
+    if (this.#areTransactionsOver) transaction.failure ??= STOPPING_REASON
+    if (transaction.failure !== undefined) return this.#failStatement(id, 'aborted', transaction.failure)
     const check = this.#checkCaller(this.#startParameters?.database ?? '', this.#startParameters?.key)
     if (check.type === 'refused' && check.reason !== 'entry-unknown') {
-      const { failure, text: reason } = describeRefusal(check.reason)
+      const { failure, text: reason } = describeCallerRefusal(check.reason)
       this.#failTransaction(transaction, reason)
       this.#writeFailure(id, failure, reason)
       return
@@ -298,11 +303,11 @@
     const { budget } = this.#services
     const check = this.#checkCaller(this.#startParameters?.database ?? '', this.#startParameters?.key)
     if (check.type === 'refused') {
-      const { failure, text } = describeRefusal(check.reason)
+      const { failure, text } = describeCallerRefusal(check.reason)
       this.#writeFailure(id, failure, text)
       return undefined
     }
-    if (check.organisation === undefined || await budget.take(check.organisation, chooseTokenWaitMs({ uptimeMs: budget.readUptimeMs(), targetLatencyMs: check.entry.targetLatencyMs }))) return check
+    if (check.organisation === undefined || await takeToken(this.#services, { organisation: check.organisation, targetLatencyMs: check.entry.targetLatencyMs })) return check
     const retryAfterMs = budget.chooseRetryAfterMs(check.organisation)
     this.#services.logger.info('no token', { request: id, organisation: check.organisation, retryAfterMs, ...budget.describe(check.organisation) })
     this.#services.metrics.recordRateRefusal()
@@ -310,6 +315,9 @@
     return undefined
   }
 
+  /** Whether the host is stopping and no transaction continues or begins. */
+  get #areTransactionsOver (): boolean { return this.#services.clock.readTime() >= (this.#services.findTransactionDeadline() ?? Infinity) }
+
   #checkCaller (database: string, key: string | undefined): CallerCheck {
     this.#services.checkClocks()
     return this.#services.catalogue.checkCaller(database, key, this.#services.clock.readTime())
@@ -388,8 +396,3 @@
     this.#handleClosed(this)
   }
 }
-
-function describeRefusal (reason: 'entry-unknown' | 'key-unknown' | 'stale'): { failure: StatementFailure, text: string } {
-  if (reason === 'stale') return { failure: 'busy', text: 'this host cannot confirm the catalogue; retry at another one' }
-  return { failure: reason, text: reason === 'entry-unknown' ? 'there is no such database' : 'the key is not known' }
-}
--- a/packages/host/src/peer/peer-link.ts
+++ b/packages/host/src/peer/peer-link.ts
@@ -80,13 +80,13 @@
     return this.#unreachableSince === undefined ? 0 : this.#clock.readTime() - this.#unreachableSince
   }
 
-  /** Returns whether the link can carry a call now. Waits up to `CONNECT_TIMEOUT_MS` for a first connection. */
-  async prepare (): Promise<boolean> {
+  /** Returns whether the link can carry a call now. Waits up to `CONNECT_TIMEOUT_MS`, and at most `timeLeftMs`, for a first connection. */
+  async prepare (timeLeftMs = CONNECT_TIMEOUT_MS): Promise<boolean> {
     this.#lastUsedAt = this.#clock.readTime()
     if (this.isUp) return true
     if (this.#unreachableSince !== undefined) return false
     this.#opening ??= this.#open()
-    await Promise.race([this.#opening, new Promise((resolve) => setTimeout(resolve, CONNECT_TIMEOUT_MS))])
+    await Promise.race([this.#opening, new Promise((resolve) => setTimeout(resolve, Math.min(timeLeftMs, CONNECT_TIMEOUT_MS)))])
     return this.isUp
   }
 
--- a/packages/host/src/program/host-shutdown.ts
+++ b/packages/host/src/program/host-shutdown.ts
@@ -23,8 +23,8 @@
 const TRANSACTION_GRACE_FRACTION = 0.5
 /** Reserved for the exit of the process itself. */
 const EXIT_MARGIN_MS = 400
-/** Time for a response to reach its caller. */
-const RESPONSE_MARGIN_MS = 100
+/** Another owner may respond this long after the deadline that it was given, and the response then has to reach the caller. */
+const RESPONSE_MARGIN_MS = 250
 const POLL_INTERVAL_MS = 50
 /** Timeout of one store call. If the record remains, the next promotion waits for the whole duration of the primary leases. */
 const REMOVE_TIMEOUT_MS = 150
@@ -35,6 +35,7 @@
 export class HostShutdown {
   readonly #options: CreateOptions
   #responseDeadline: number | undefined
+  #transactionDeadline: number | undefined
   #graceMs: number
 
   private constructor (options: CreateOptions) {
@@ -53,11 +54,15 @@
   /** Time by which the last response must have been written; undefined while the host is not stopping. */
   get responseDeadline (): number | undefined { return this.#responseDeadline }
 
+  /** Time after which no transaction continues or begins; undefined while the host is not stopping. */
+  get transactionDeadline (): number | undefined { return this.#transactionDeadline }
+
   async run (): Promise<void> {
-    const { callers, fleet, releaseLeases, clock, logger } = this.#options
+    const { callers, registry, fleet, releaseLeases, clock, logger } = this.#options
     const graceMs = this.#graceMs
     const startedAt = clock.readTime()
     this.#responseDeadline = startedAt + graceMs - EXIT_MARGIN_MS - RESPONSE_MARGIN_MS
+    this.#transactionDeadline = startedAt + graceMs * TRANSACTION_GRACE_FRACTION
     logger.info('stopping', { sessions: callers.size, transactions: callers.openTransactions })
     void fleet.leave()
     while (clock.readTime() - startedAt < graceMs - EXIT_MARGIN_MS) {
@@ -66,12 +71,14 @@
       // The load balancer still sends callers while too few hosts of the data centre are ready, so accepting stops only here.
       if (elapsedMs >= graceMs * TRANSACTION_GRACE_FRACTION) callers.stopAccepting()
       if (elapsedMs >= graceMs * TRANSACTION_GRACE_FRACTION) callers.abortTransactions('the host stops')
+      // Work of other hosts may have later deadlines than this host. It has not run, and their next attempt finds another owner.
+      if (clock.readTime() >= this.#responseDeadline) registry.stopWaiting()
       if (elapsedMs >= BALANCER_DETECTION_MS + OWNER_HAND_OVER_MS && callers.size === 0 && !this.#isOwnerBusy()) break
       await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL_MS))
     }
     releaseLeases()
     await Promise.race([fleet.remove(), delay(REMOVE_TIMEOUT_MS)])
-    logger.info('stop ends', { sessions: callers.size, transactions: callers.openTransactions, tookMs: Math.round(clock.readTime() - startedAt) })
+    logger.info('stop ends', { sessions: callers.size, requestsInFlight: callers.requestsInFlight, transactions: callers.openTransactions, tookMs: Math.round(clock.readTime() - startedAt) })
   }
 
   #isOwnerBusy (): boolean {
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -197,7 +197,7 @@
     address: callerIp as string,
     port: Number(callerPort),
     incarnation,
-    services: { catalogue: catalogue.replica, budget, runner, clock, logger, metrics, checkClocks: () => { clock.checkSuspension() }, findResponseDeadline: () => shutdown.responseDeadline },
+    services: { catalogue: catalogue.replica, budget, runner, clock, logger, metrics, checkClocks: () => { clock.checkSuspension() }, findResponseDeadline: () => shutdown.responseDeadline, findTransactionDeadline: () => shutdown.transactionDeadline },
     createCodec: adapter.createCallerCodec
   })
   const [readinessIp, readinessPort] = settings.readinessAddress.split(':')
--- a/packages/host/src/upstream/connection-pool.ts
+++ b/packages/host/src/upstream/connection-pool.ts
@@ -122,6 +122,11 @@
     this.#serveWaiters()
   }
 
+  /** Refuses the requests that wait for a connection. */
+  stopWaiting (): void {
+    for (const waiter of this.#removeWaiters(() => true)) waiter.resolve({ type: 'refused', failure: 'busy', text: 'the owner of the connections stops' })
+  }
+
   close (): void {
     this.#isClosed = true
     clearTimeout(this.#growTimer)
--- a/packages/host/src/upstream/database-owner.ts
+++ b/packages/host/src/upstream/database-owner.ts
@@ -20,6 +20,7 @@
 import type { PinnedTransaction } from './pinned-transaction.js'
 import { PinnedTransactions } from './pinned-transactions.js'
 import { PrimaryGuard } from './primary-guard.js'
+import { rollBackTransaction } from './roll-back-transaction.js'
 import { SlotLimiter } from './slot-limiter.js'
 import { WritePause } from './write-pause.js'
 
@@ -42,8 +43,6 @@
 
 type Operation<Type> = Extract<UpstreamExecuteParams['operation'], { type: Type }>
 
-/** Timeout of the rollback of a transaction, which takes no slot. */
-const ROLLBACK_TIMEOUT_MS = 1000
 /** Little more than the set-up time of a connection, since a request holds its slot while it waits for one. */
 const CONNECTION_WAIT_MS = 300
 
@@ -148,6 +147,12 @@
   /** Runs one of the proxy's own commands on a connection that no request uses. */
   async runControl (command: UpstreamCommand): Promise<StatementResponse> { return await this.#control.run(command) }
 
+  /** Refuses the work that waits for a slot or a connection. */
+  stopWaiting (): void {
+    this.#slots.stopWaiting('the owner of the connections stops')
+    this.#pool.stopWaiting()
+  }
+
   close (): void {
     this.#slots.close()
     this.#pool.close()
@@ -159,7 +164,7 @@
     const deadline = this.#clock.readTime() + timeLeftMs
     if (!this.#health.takeTrial(this.#clock.readTime())) return this.#refuse('busy', 'the database does not answer')
     if (replicaRead !== undefined) await this.#events.waitForReadPosition(this.#record, replicaRead.maxStalenessMs)
-    const slot = await this.#slots.wait({ organisation, priority, timeLeftMs, isPinned: false })
+    const slot = await this.#slots.wait({ organisation, priority, timeLeftMs: deadline - this.#clock.readTime(), isPinned: false })
     if (slot.type === 'refused') return this.#refuse('busy', this.#describeLoad(slot.reason))
     try {
       if (!this.#isPermitted(this.#record, params)) return this.#refuseUnpermitted()
@@ -168,27 +173,27 @@
       const acquisition = await this.#pool.acquire(organisation, values, Math.min(CONNECTION_WAIT_MS, deadline - this.#clock.readTime()))
       if (acquisition.type !== 'acquired') return this.#refuseAcquisition(acquisition)
       const { pooled } = acquisition
-      const timeoutMs = Math.max(1, deadline - this.#clock.readTime())
+      const timeoutMs = this.#computeTimeout(deadline)
       const setup = pooled.setup.listCommands(values, needed)
       const run: UpstreamCommand = { type: 'run', id: operation.id, text: operation.text, after: undefined }
       const record = (answer: StatementResponse, sentAt: number): void => { this.#capacity.recordResponse(slot.id, params, answer, sentAt) }
       if (operation.access === 'write') return await this.#finishSingle(pooled, [...setup, run], setup.length, timeoutMs, true, record)
       if (after !== undefined) return await this.#finishSingle(pooled, [...setup, { ...run, after }], setup.length, timeoutMs, false, record)
-      return await this.#runPrimaryRead(pooled, setup, run, timeoutMs, record)
+      return await this.#runPrimaryRead(pooled, setup, run, deadline, record)
     } finally {
       this.#slots.release(slot.id)
     }
   }
 
   /** Reads inside a transaction, because a plain read also succeeds on a database that is no longer the primary. */
-  async #runPrimaryRead (pooled: PooledConnection, setup: UpstreamCommand[], run: UpstreamCommand, timeoutMs: number, record: RecordResponse): Promise<UpstreamExecuteResult> {
-    const refused = await this.#openTransaction(pooled, setup, { type: 'begin', isReadOnly: false, after: undefined }, timeoutMs, true)
+  async #runPrimaryRead (pooled: PooledConnection, setup: UpstreamCommand[], run: UpstreamCommand, deadline: number, record: RecordResponse): Promise<UpstreamExecuteResult> {
+    const refused = await this.#openTransaction(pooled, setup, { type: 'begin', isReadOnly: false, after: undefined }, this.#computeTimeout(deadline), true)
     if (refused !== undefined) return refused
     const check = this.#primary.check(true)
     if (check.type === 'refused') return this.#refuseUnsent(pooled, check.reason)
     if (this.#isClosed) return this.#refuseUnsent(pooled, 'closed')
     const sentAt = this.#clock.readTime()
-    const [read, rollback] = pooled.connection.send([run, { type: 'rollback' }], timeoutMs) as [Promise<StatementResponse>, Promise<StatementResponse>]
+    const [read, rollback] = pooled.connection.send([run, { type: 'rollback' }], this.#computeTimeout(deadline)) as [Promise<StatementResponse>, Promise<StatementResponse>]
     const [answer] = await this.#primary.track([read]) as [StatementResponse]
     record(answer, sentAt)
     this.#control.recordHealth(answer)
@@ -232,13 +237,14 @@
 
   async #begin (params: UpstreamExecuteParams, operation: Pick<Operation<'begin'>, 'isReadOnly'>): Promise<UpstreamExecuteResult> {
     const { session, organisation, values, replicaRead, timeLeftMs } = params
+    const deadline = this.#clock.readTime() + timeLeftMs
     if (!this.#health.takeTrial(this.#clock.readTime())) return this.#refuse('busy', 'the database does not answer')
     if (replicaRead !== undefined) await this.#events.waitForReadPosition(this.#record, replicaRead.maxStalenessMs)
     if (this.#slots.estimateWarmupWaitMs() > timeLeftMs) return this.#refuse('busy', 'the database is cold and its requests per second are used up')
     if (this.#transactions.size >= Math.max(1, this.#pool.limit - this.#record.slots)) {
       return this.#refuse('busy', this.#describeLoad('too many open transactions'))
     }
-    const acquisition = await this.#pool.acquire(organisation, values, timeLeftMs)
+    const acquisition = await this.#pool.acquire(organisation, values, this.#computeTimeout(deadline))
     if (acquisition.type !== 'acquired') return this.#refuseAcquisition(acquisition)
     const { pooled } = acquisition
     if (!this.#isPermitted(this.#record, params)) {
@@ -254,7 +260,7 @@
     // A read-only transaction continues on a database that is no longer the primary, a read-write one does not.
     const begin: UpstreamCommand = { type: 'begin', isReadOnly: operation.isReadOnly && !isOnPrimary, after }
     const setup = pooled.setup.listCommands(values, undefined)
-    const refused = await this.#openTransaction(pooled, setup, begin, timeLeftMs, isOnPrimary)
+    const refused = await this.#openTransaction(pooled, setup, begin, this.#computeTimeout(deadline), isOnPrimary)
     if (refused !== undefined) return refused
     // The database may have been closed during the response, after its open transactions were aborted.
     if (this.#isClosed) return this.#refuseUnsent(pooled, 'closed')
@@ -318,7 +324,7 @@
       if (isOpening(params.operation) && !this.#isPermitted(this.#record, params)) return this.#refuseUnpermitted()
       if (!transaction.pooled.connection.isOpen) return this.#isClosed ? this.#refuseClosed(params) : this.#refuse('aborted', 'the connection of the transaction ended')
       const sentAt = this.#clock.readTime()
-      const sent = await this.#send(transaction.pooled, buildCommands(), Math.max(1, deadline - this.#clock.readTime()), transaction.isOnPrimary, true)
+      const sent = await this.#send(transaction.pooled, buildCommands(), this.#computeTimeout(deadline), transaction.isOnPrimary, true)
       if (sent === undefined) return this.#isClosed ? this.#refuseClosed(params) : this.#refuse('aborted', 'another primary takes over')
       const answer = sent.answers.at(-1) as StatementResponse
       this.#capacity.recordResponse(slot.id, params, answer, sentAt)
@@ -335,19 +341,12 @@
   #rollback (session: string): UpstreamExecuteResult {
     const transaction = this.#transactions.get(session)
     this.#transactions.delete(session)
-    if (transaction !== undefined) void this.#endTransaction(transaction)
+    if (transaction !== undefined) void rollBackTransaction(transaction, this.#pool, this.#isClosed)
     return this.#buildResult({ type: 'done', proof: '-', rows: [], position: undefined }, true)
   }
 
-  async #endTransaction ({ pooled, isBusy }: PinnedTransaction): Promise<void> {
-    if (isBusy || !pooled.connection.isOpen || this.#isClosed) {
-      this.#pool.discard(pooled)
-      return
-    }
-    const [answer] = await Promise.all(pooled.connection.send([{ type: 'rollback' }], ROLLBACK_TIMEOUT_MS)) as [StatementResponse]
-    if (answer.type === 'done') this.#pool.release(pooled)
-    else this.#pool.discard(pooled)
-  }
+  /** Several waits of one operation share its deadline. */
+  #computeTimeout (deadline: number): number { return Math.max(1, deadline - this.#clock.readTime()) }
 
   #needsPrimary ({ operation, session, replicaRead }: UpstreamExecuteParams): boolean {
     return isJoining(operation) ? this.#transactions.get(session)?.isOnPrimary === true : replicaRead === undefined
--- a/packages/host/src/upstream/owner-registry.ts
+++ b/packages/host/src/upstream/owner-registry.ts
@@ -81,6 +81,11 @@
     if (this.#owners.size === 0) this.#stopPauseTimer()
   }
 
+  /** Refuses the work that waits for a slot or a connection of any database. It has not run. */
+  stopWaiting (): void {
+    for (const owner of this.#owners.values()) owner.stopWaiting()
+  }
+
   /** Waits until this host has no work for the group's primary in flight, for at most `timeLeftMs`. */
   async quiesce (group: string, timeLeftMs: number): Promise<void> {
     await Promise.all(this.all.filter(({ record }) => record.group === group).map(async (owner) => { await owner.quiesce(timeLeftMs) }))
--- a/packages/host/src/upstream/owner-router.ts
+++ b/packages/host/src/upstream/owner-router.ts
@@ -83,10 +83,11 @@
     // With home regions the caller's host is always tried, since no host outside of them can take over from the permitted ones.
     if (permittedRegions !== undefined) tried.push(...reachable.slice(MAXIMUM_OWNERS_TRIED).filter((candidate) => candidate.host === self.host))
     for (const candidate of tried) {
-      const timeLeftMs = Math.max(1, deadline - clock.readTime())
       const link = candidate.host === self.host ? undefined : links.find(candidate)
-      if (link !== undefined && !await link.prepare()) continue
-      const routedParams = { ...params, databaseId: record.id, timeLeftMs }
+      if (link !== undefined && !await link.prepare(deadline - clock.readTime())) continue
+      const timeLeftMs = deadline - clock.readTime()
+      if (timeLeftMs <= 0 && params.operation.type !== 'rollback') return refused ?? refuse(candidate.host, host === undefined ? 'busy' : 'aborted', 'its time was over before an owner of the connections was reached')
+      const routedParams = { ...params, databaseId: record.id, timeLeftMs: Math.max(1, timeLeftMs) }
       const result = link === undefined ? await registry.find(record).execute(routedParams) : await this.#executeAt(link, record, routedParams)
       if (result.isOwnerUnable !== true) return { result, host: candidate.host }
       refused = { result, host: candidate.host }
--- a/packages/host/src/upstream/slot-limiter.ts
+++ b/packages/host/src/upstream/slot-limiter.ts
@@ -142,16 +142,21 @@
     this.#startNext()
   }
 
-  close (): void {
+  /** Refuses the statements that wait. */
+  stopWaiting (reason: string): void {
     clearTimeout(this.#timer)
     for (const [id, resolve] of this.#waiters) {
       this.#scheduler.remove(id)
-      resolve({ type: 'refused', reason: 'the host gave the database up' })
+      resolve({ type: 'refused', reason })
     }
     this.#waiters.clear()
     this.#pinned = []
   }
 
+  close (): void {
+    this.stopWaiting('the host gave the database up')
+  }
+
   async #waitForStart (id: string): Promise<SlotResult> {
     return await new Promise((resolve) => {
       this.#waiters.set(id, resolve)
--- a/packages/host/test/owner-router.test.ts
+++ b/packages/host/test/owner-router.test.ts
@@ -60,3 +60,21 @@
   assert.equal(received.at(-1), 'self')
   assert.ok(received.slice(0, -1).every((host) => host.startsWith('n')))
 })
+
+// Guards against an operation that takes longer than its time because each link to an owner is awaited for its own time limit.
+test('links to owners are awaited only until the deadline of the operation, which is then refused as not run', async () => {
+  let now = 0
+  const waits: number[] = []
+  const links = {
+    updateHosts: () => {},
+    find: ({ host }: HostRecord) => ({ record: { host }, readDownMs: () => 0, prepare: async (timeLeftMs: number) => { waits.push(timeLeftMs); now += 300; return now >= 600 }, request: assert.fail })
+  }
+  const router = OwnerRouter.create({
+    self, regions: new Map([['n', 'north'], ['s', 'south'], ['w', 'west']]), links: links as unknown as PeerLinks, registry: { find: assert.fail } as unknown as OwnerRegistry, clock: { readTime: () => now }
+  })
+  router.updateHosts(hosts)
+  const operation = { type: 'run', id: '1', text: 'WRITE x', access: 'write', transaction: 'none', isReadOnly: false } as const
+  const { result: { answer, wasSent } } = await router.execute(record, { session: 's', organisation: 'o', operation, values: [], timeLeftMs: 500, priority: 1 }, {})
+  assert.deepEqual(waits, [500, 200])
+  assert.deepEqual([answer.type === 'failed' && answer.failure, wasSent], ['busy', false])
+})
