Check the key at each statement and the COMMIT of an open transaction

A caller whose key was withdrawn during its transaction committed 6.8 s after the confirmation of the withdrawal, stated 5 s; with its entry removed too, its reads ran as well.

Cause: #handleCommit checked no key. Statements of a transaction ignored "entry-unknown", which checkCaller returns before it looks at the key.

CatalogueReplica.checkKey checks a key against the entry with which the transaction began, and every statement and COMMIT of a transaction uses it.

--- a/packages/coordination/src/catalogue/catalogue-replica.ts
+++ b/packages/coordination/src/catalogue/catalogue-replica.ts
@@ -63,6 +63,14 @@
   checkCaller (database: string, key: string | undefined, now: number): CallerCheck {
     const entry = this.#catalogue?.entries.get(database)
     if (entry === undefined) return { type: 'refused', reason: this.#catalogue === undefined ? 'stale' : 'entry-unknown' }
+    return this.checkKey(entry, key, now)
+  }
+
+  /**
+   * Checks whether a caller may go on with what it began on an entry. The entry is the one of that time, since a change or removal of an
+   * entry applies from the next transaction on, while a withdrawn key stops working at once.
+   */
+  checkKey (entry: CatalogueEntry, key: string | undefined, now: number): CallerCheck {
     const organisation = key === undefined ? undefined : this.#catalogue?.organisationByKey.get(key)
     if (entry.isPublic) return { type: 'allowed', entry, organisation }
     if (organisation === undefined) return { type: 'refused', reason: 'key-unknown' }
--- a/packages/host/src/caller/caller-task.ts
+++ b/packages/host/src/caller/caller-task.ts
@@ -9,6 +9,7 @@
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
 import type { CallerServices } from './caller-services.js'
 import { describeCallerRefusal } from './describe-caller-refusal.js'
+import { findKeyRefusal } from './find-key-refusal.js'
 import type { OpenTransaction } from './open-transaction.js'
 import type { SingleStatement } from './single-statement.js'
 import type { OperationContext } from './operation-context.js'
@@ -195,12 +196,13 @@
       return
     }
     if (this.#areTransactionsOver) transaction.failure ??= STOPPING_REASON
-    const result = transaction.failure === undefined ? await this.#commit(transaction, id) : undefined
+    const refusal = findKeyRefusal(this.#services, transaction, this.#startParameters?.key)
+    const result = transaction.failure === undefined && refusal === undefined ? await this.#commit(transaction, id) : undefined
     this.#transaction = undefined
     this.#session.state = 'idle'
     if (result === undefined) {
       this.#releaseTransaction(transaction)
-      this.#writeFailure(id, 'aborted', transaction.failure ?? 'the transaction was not begun')
+      this.#writeFailure(id, refusal?.failure ?? 'aborted', refusal?.text ?? transaction.failure ?? 'the transaction was not begun')
       return
     }
     const { answer, wasSent } = result
@@ -250,13 +252,8 @@
   async #runInTransaction (transaction: OpenTransaction, { id, text, access, needed }: SingleStatement): Promise<void> {
     if (this.#areTransactionsOver) transaction.failure ??= STOPPING_REASON
     if (transaction.failure !== undefined) return this.#failStatement(id, 'aborted', transaction.failure)
-    const check = this.#checkCaller(this.#startParameters?.database ?? '', this.#startParameters?.key)
-    if (check.type === 'refused' && check.reason !== 'entry-unknown') {
-      const { failure, text: reason } = describeCallerRefusal(check.reason)
-      this.#failTransaction(transaction, reason)
-      this.#writeFailure(id, failure, reason)
-      return
-    }
+    const refusal = findKeyRefusal(this.#services, transaction, this.#startParameters?.key)
+    if (refusal !== undefined) return this.#failStatement(id, refusal.failure, refusal.text)
     if (access === 'write' && transaction.isReadOnly) {
       this.#failStatement(id, 'not-primary', 'the transaction only reads')
       return
