Let replicas receive again after a promotion that was given up

After a primary's outage of 3 s, in which one replica did not respond, no write was acknowledged any more where replicas acknowledge commits; all ended with an unknown outcome.

Cause: PromotionRun sends PAUSE before it reads the replicas' positions and never sent RESUME; only a promotion or a restart ended the pause.

A run that is given up sends RESUME while it holds the claim, unless a promotion may still take effect. The host that is responsible for a group takes an abandoned claim over although the primary responds, and sends RESUME too.

--- a/packages/host/src/failover/failover-task.ts
+++ b/packages/host/src/failover/failover-task.ts
@@ -127,6 +127,7 @@
     if (isResponsive && !hasResponded()) await owner.probe()
     if (!owner.health.isSuspect) {
       this.#searchStartedAt.delete(group)
+      if (this.#isClaimAbandoned(group)) await this.#promote(group, leader, successors, false)
       return
     }
     if (await this.#isReachableFromOthers(leader)) {
@@ -153,6 +154,17 @@
     return true
   }
 
+  /**
+   * Whether a lost host may have left the replicas paused, in a group whose primary responds. The promotion that follows a claim of this phase
+   * only lets them receive again and ends the claim.
+   */
+  #isClaimAbandoned (group: string): boolean {
+    const { leases, findCatalogue, self, clock } = this.#options
+    const current = leases.findClaim(group)
+    if (current?.claim.phase !== 'claimed' || current.claim.incarnation === self.incarnation) return false
+    return (findCatalogue()?.groups.get(group)?.syncReplicas ?? 0) > 0 && this.#takeoverPolicy.isClaimable(group, current.claim, current.revision, clock.readTime())
+  }
+
   /** Whether this is the first reachable host in the order of the primary's owners or, without a primary, in an order of the group. */
   #isResponsible (group: string, leader: UpstreamRecord | undefined): boolean {
     const { router, links, self } = this.#options
--- a/packages/host/src/failover/promotion-run.ts
+++ b/packages/host/src/failover/promotion-run.ts
@@ -74,6 +74,8 @@
   readonly #permit = CallPermit.create()
   /** A call without a response may take effect later, so the claim cannot end before the successor leads. */
   #isCallUnresolved = false
+  /** Replicas were sent PAUSE and may receive nothing until RESUME or a promotion. */
+  #arePaused = false
 
   private constructor (options: CreateOptions) {
     this.#options = options
@@ -95,6 +97,7 @@
     try {
       const outcome = await this.#collectAndPromote(acquired.previous, claimedAt)
       logger.info('promotion ended', { group, fencingToken: claimHolder.revision, tookMs: Math.round(clock.readTime() - claimedAt), ...outcome })
+      if (outcome.type === 'given-up') await this.#resumeReplicas(acquired.previous)
       await this.#endClaim(outcome, acquired.previous)
       return outcome
     } finally {
@@ -137,6 +140,7 @@
     let statuses = await Promise.all(records.map(async (record) => await this.#runCommand(record, { type: 'status' })))
     // Where replicas acknowledge commits, none may acknowledge one after its position was read, so they stop receiving first.
     if (syncReplicas > 0 && !isPlanned) {
+      this.#arePaused = true
       const term = Math.max(0, ...statuses.map((status) => status?.term ?? 0)) + 1
       statuses = await Promise.all(records.map(async (record) => await this.#runCommand(record, { type: 'pause', term })))
     }
@@ -222,11 +226,26 @@
     return { type: 'given-up', reason: `${record.id} was promoted but does not lead` }
   }
 
+  /**
+   * Lets the replicas receive again after a promotion that this host, or a lost claim holder before it, gave up. Without them no commit is
+   * acknowledged. A promotion that may still take effect does the same, and a host that has taken the claim over needs its own PAUSE.
+   */
+  async #resumeReplicas (previous: PromotionClaim | undefined): Promise<void> {
+    const { syncReplicas, candidates, holders, claimHolder, group, logger } = this.#options
+    const mayBePaused = syncReplicas > 0 && (this.#arePaused || previous?.phase === 'claimed')
+    if (!mayBePaused || this.#wasCalled(previous) || claimHolder.claim === undefined) return
+    if (!await claimHolder.write(claimHolder.claim)) return
+    const replicas = [...candidates, ...holders.map(({ record }) => record)]
+    const statuses = await Promise.all(replicas.map(async (record) => await this.#runCommand(record, { type: 'resume' })))
+    logger.info('replicas receive again', { group, unresponsive: replicas.filter((_, index) => statuses[index] === undefined).map(({ id }) => id) })
+  }
+
+  #wasCalled (previous: PromotionClaim | undefined): boolean { return this.#isCallUnresolved || previous?.phase === 'called' }
+
   /** Without a successor that leads, the claim ends with the previous primary, unless a call of the endpoint may still take effect. */
   async #endClaim (outcome: Outcome, previous: PromotionClaim | undefined): Promise<void> {
     const { claimHolder, releaseCollector, group, logger } = this.#options
-    const wasCalled = this.#isCallUnresolved || previous?.phase === 'called'
-    if (outcome.type === 'given-up' && wasCalled) return
+    if (outcome.type === 'given-up' && this.#wasCalled(previous)) return
     const endedClaim = outcome.type === 'promoted'
       ? { phase: 'ended' as const, leader: outcome.id, term: outcome.term, successor: this.#isCallUnresolved ? outcome.id : undefined }
       : { phase: 'ended' as const, leader: previous?.leader, term: previous?.term }
