--- a/packages/coordination/src/common/platform-adapter.ts
+++ b/packages/coordination/src/common/platform-adapter.ts
@@ -22,8 +22,8 @@
   readonly readinessPath: string
   createCallerCodec(): CallerCodec
   decodeCatalogue(value: unknown, handleInvalid: (reason: string) => void): Catalogue | undefined
-  /** Reduces the value of a directory entry to what `decodeUpstreamRecord` reads. */
-  compactUpstreamEntry(value: unknown): unknown
+  /** Parses the value of a directory entry into what `decodeUpstreamRecord` reads; accepts its own results. */
+  parseUpstreamEntry(value: unknown): unknown
   /** Returns undefined, and calls `handleInvalid` with the reason, when the object describes no usable database. */
   decodeUpstreamRecord(object: StoreObject, handleInvalid: (reason: string) => void): UpstreamRecord | undefined
   decodeUpstreamStatus(rows: readonly string[]): UpstreamStatus | undefined
--- a/packages/host/src/caller/caller-task.ts
+++ b/packages/host/src/caller/caller-task.ts
@@ -8,7 +8,7 @@
 import type { StatementResponse } from '@tanagerusher/state/upstream/statement-response'
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
 import type { CallerServices } from './caller-services.js'
-import { describeCallerRefusal } from './describe-caller-refusal.js'
+import { formatCallerRefusal } from './format-caller-refusal.js'
 import { findKeyRefusal } from './find-key-refusal.js'
 import type { OpenTransaction } from './open-transaction.js'
 import type { SingleStatement } from './single-statement.js'
@@ -150,7 +150,7 @@
       this.#write(this.#codec.formatReady('idle', undefined))
       return
     }
-    const { failure, text } = describeCallerRefusal(check.reason)
+    const { failure, text } = formatCallerRefusal(check.reason)
     logger.info('session refused', { session: this.#name, database, failure, version: this.#services.catalogue.version })
     this.#refuseConnection(failure, text)
   }
@@ -300,7 +300,7 @@
     const { budget } = this.#services
     const check = this.#checkCaller(this.#startParameters?.database ?? '', this.#startParameters?.key)
     if (check.type === 'refused') {
-      const { failure, text } = describeCallerRefusal(check.reason)
+      const { failure, text } = formatCallerRefusal(check.reason)
       this.#writeFailure(id, failure, text)
       return undefined
     }
--- a/packages/host/src/failover/failover-task.ts
+++ b/packages/host/src/failover/failover-task.ts
@@ -209,7 +209,7 @@
     }
   }
 
-  async #promote (group: string, leader: UpstreamRecord | undefined, candidates: readonly UpstreamRecord[], isPlanned: boolean, resumesOnly = false): Promise<void> {
+  async #promote (group: string, leader: UpstreamRecord | undefined, candidates: readonly UpstreamRecord[], isPlanned: boolean, isResumeOnly = false): Promise<void> {
     const { leaders, links, registry, findCatalogue, isCold, self, adapter, leases, claimHandler, findRestoreTime, countSuspensions, clock, logger } = this.#options
     const syncReplicas = findCatalogue()?.groups.get(group)?.syncReplicas ?? 0
     const holders = isPlanned || syncReplicas === 0 ? [] : this.#listHolders(group, leader, candidates)
@@ -221,7 +221,7 @@
     }
     const claimHolder = ClaimHolder.create({ group, self, store: adapter.store, takeoverPolicy: this.#takeoverPolicy, inFlightCalls: this.#inFlightCalls, findKnownClaim: () => leases.findClaim(group)?.claim, clock, logger })
     const releaseCollector = LeaseReleaseCollector.create({ group, self, links, limitMs: leases.limitMs, findRestoreTime, claimHandler, clock, logger })
-    const outcome = await PromotionRun.create({ group, leader, isPlanned, resumesOnly, candidates, holders, syncReplicas, isCold, self, adapter, registry, claimHolder, releaseCollector, inFlightCalls: this.#inFlightCalls, countSuspensions, clock, logger }).run()
+    const outcome = await PromotionRun.create({ group, leader, isPlanned, isResumeOnly, candidates, holders, syncReplicas, isCold, self, adapter, registry, claimHolder, releaseCollector, inFlightCalls: this.#inFlightCalls, countSuspensions, clock, logger }).run()
     if (claimHolder.claim !== undefined) await claimHandler.release(group, claimHolder.claim, claimHolder.revision, 0)
     if (outcome.type === 'given-up') {
       logger.info('promotion given up', { group, reason: outcome.reason })
--- a/packages/host/src/failover/promotion-run.ts
+++ b/packages/host/src/failover/promotion-run.ts
@@ -22,7 +22,7 @@
   /** The primary still leads and must hand over without losing a commit. */
   isPlanned: boolean
   /** Only lets replicas receive again that a lost claim holder may have paused, because the primary responds. */
-  resumesOnly: boolean
+  isResumeOnly: boolean
   candidates: readonly UpstreamRecord[]
   /** Further databases whose positions decide where replicas acknowledge commits and the primary does not respond. */
   holders: readonly CommitHolder[]
@@ -108,10 +108,10 @@
   }
 
   async #collectAndPromote (previous: PromotionClaim | undefined, claimedAt: number): Promise<Outcome> {
-    const { claimHolder, releaseCollector, isPlanned, resumesOnly } = this.#options
+    const { claimHolder, releaseCollector, isPlanned, isResumeOnly } = this.#options
     if (previous?.phase === 'claimed' && previous.incarnation !== this.#options.self.incarnation) return { type: 'given-up', reason: 'the previous claim holder was lost before it called the endpoint' }
     // The copy of the store from which the claim was taken for abandoned may have been old.
-    if (resumesOnly) return { type: 'given-up', reason: 'no lost claim holder can have paused the replicas' }
+    if (isResumeOnly) return { type: 'given-up', reason: 'no lost claim holder can have paused the replicas' }
     const claim = claimHolder.claim
     if (claim === undefined || !await claimHolder.loadHosts()) return { type: 'given-up', reason: 'the hosts cannot be listed' }
     const areLeasesReleased = await releaseCollector.collect({
--- a/packages/host/src/program/open-host.ts
+++ b/packages/host/src/program/open-host.ts
@@ -151,7 +151,7 @@
   const upstreams: UpstreamsTask = UpstreamsTask.create({
     store: adapter.store,
     kind: adapter.upstreamKind,
-    compact: adapter.compactUpstreamEntry,
+    parseEntry: adapter.parseUpstreamEntry,
     decode: adapter.decodeUpstreamRecord,
     relays,
     retries,
--- a/packages/host/src/store/object-watcher.ts
+++ b/packages/host/src/store/object-watcher.ts
@@ -17,8 +17,8 @@
 interface CreateOptions {
   store: ObjectStore
   kind: string
-  /** Reduces a value to what its readers need. Only that is kept and sent to other hosts; it must accept its own results. */
-  compact?: (value: unknown) => unknown
+  /** Parses a value into what its readers need. Only that is kept and sent to other hosts, which parse it again. */
+  parseValue?: (value: unknown) => unknown
   /** Longest wait of one watch call. */
   waitMs: number
   relays: RelaySelector
@@ -138,7 +138,7 @@
         continue
       }
       const startedAt = this.#options.clock.readTime()
-      const failure = await this.#callStore(async () => this.#isListDue ? await this.#list() : await this.#watch(this.#copy.revision))
+      const failure = await this.#runCall(async () => this.#isListDue ? await this.#list() : await this.#watch(this.#copy.revision))
       if (this.#isClosed) return
       this.#recordOutcome(failure)
       const elapsedMs = this.#options.clock.readTime() - startedAt
@@ -153,13 +153,13 @@
     this.#isClosed = true
   }
 
-  #compact (object: StoreObject): StoreObject {
-    const { compact } = this.#options
-    return compact === undefined ? object : { ...object, value: compact(object.value) }
+  #parse (object: StoreObject): StoreObject {
+    const { parseValue } = this.#options
+    return parseValue === undefined ? object : { ...object, value: parseValue(object.value) }
   }
 
   /** Runs one call of the store and the handling of its result. An exception is a failed call: it must neither end the process nor stop the watcher. */
-  async #callStore (call: () => Promise<StoreFailure | undefined>): Promise<StoreFailure | undefined> {
+  async #runCall (call: () => Promise<StoreFailure | undefined>): Promise<StoreFailure | undefined> {
     try {
       return await call()
     } catch (error) {
@@ -182,7 +182,7 @@
     this.#isListDue = false
     this.#appliedLists++
     const { revision } = result.value
-    const objects = result.value.objects.map((object) => this.#compact(object))
+    const objects = result.value.objects.map((object) => this.#parse(object))
     const previousRevision = this.#copy.revision
     const removed = this.#copy.applyList(objects, revision)
     logger.info('copy listed', { kind, ...orderedRevision.encode(revision), previousRevision: orderedRevision.encode(previousRevision).revision, objects: objects.length, removed: removed?.length })
@@ -193,7 +193,7 @@
 
   async #refresh (): Promise<void> {
     this.#isRefreshing = true
-    const failure = await this.#callStore(async () => await this.#list())
+    const failure = await this.#runCall(async () => await this.#list())
     this.#isRefreshing = false
     if (failure !== undefined) this.#options.logger.info('copy was not refreshed', { kind: this.kind, ...failure })
   }
@@ -209,7 +209,7 @@
     if (this.#isClosed) return undefined
     // A list or another host's changes were applied during the watch. These changes may be older; the next watch starts at the copy's revision.
     if (this.#appliedUpdates !== appliedUpdates) return undefined
-    const changes = result.value.changes.map(({ object, isRemoved }) => ({ object: this.#compact(object), isRemoved }))
+    const changes = result.value.changes.map(({ object, isRemoved }) => ({ object: this.#parse(object), isRemoved }))
     this.#copy.applyChanges(changes, result.value.revision)
     if (changes.length > 0) {
       const latestByName = new Map(changes.map((change) => [change.object.name, change]))
@@ -228,7 +228,7 @@
       const { era, revision: since } = orderedRevision.encode(this.#copy.revision)
       const delta = await link.request(objectsFetch, { kind, era, since }, FETCH_TIMEOUT_MS)
       const previousRevision = this.#copy.revision
-      const applied = this.#copy.applyDelta({ ...delta, changed: delta.changed.map((object) => this.#compact(object)) })
+      const applied = this.#copy.applyDelta({ ...delta, changed: delta.changed.map((object) => this.#parse(object)) })
       if (applied !== undefined && !this.#isClosed) this.#handleUpdate(applied.changed, applied.removed, link.record.host, previousRevision)
     } catch (error) {
       logger.warn('changes were not fetched', { kind, peer: link.record.host, reason: String((error as Error).message) })
--- a/packages/host/src/store/upstreams-task.ts
+++ b/packages/host/src/store/upstreams-task.ts
@@ -13,8 +13,8 @@
   store: ObjectStore
   /** Kind under which databases register. */
   kind: string
-  /** Reduces the value of an entry to what `decode` reads. */
-  compact: (value: unknown) => unknown
+  /** Parses the value of an entry into what `decode` reads. */
+  parseEntry: (value: unknown) => unknown
   /** Calls `handleInvalid` with the reason when the entry describes no usable database. */
   decode: (object: StoreObject, handleInvalid: (reason: string) => void) => UpstreamRecord | undefined
   relays: RelaySelector
@@ -37,13 +37,13 @@
   readonly unusable: UnusableEntries
 
   private constructor (options: CreateOptions) {
-    const { store, kind, compact, relays, retries, clock, logger } = options
+    const { store, kind, parseEntry, relays, retries, clock, logger } = options
     this.#options = options
     this.unusable = UnusableEntries.create({ kind, logger })
     this.watcher = ObjectWatcher.create({
       store,
       kind,
-      compact,
+      parseValue: parseEntry,
       waitMs: WATCH_WAIT_MS,
       relays,
       retries,
--- a/packages/host/src/upstream/database-owner.ts
+++ b/packages/host/src/upstream/database-owner.ts
@@ -20,7 +20,7 @@
 import type { PinnedTransaction } from './pinned-transaction.js'
 import { PinnedTransactions } from './pinned-transactions.js'
 import { PrimaryGuard } from './primary-guard.js'
-import { rollBackTransaction } from './roll-back-transaction.js'
+import { releaseTransaction } from './release-transaction.js'
 import { SlotLimiter } from './slot-limiter.js'
 import { WritePause } from './write-pause.js'
 
@@ -341,7 +341,7 @@
   #rollback (session: string): UpstreamExecuteResult {
     const transaction = this.#transactions.get(session)
     this.#transactions.delete(session)
-    if (transaction !== undefined) void rollBackTransaction(transaction, this.#pool, this.#isClosed)
+    if (transaction !== undefined) void releaseTransaction(transaction, this.#pool, this.#isClosed)
     return this.#buildResult({ type: 'done', proof: '-', rows: [], position: undefined }, true)
   }
 
--- a/packages/host/src/upstream/roll-back-transaction.ts
+++ b/packages/host/src/upstream/release-transaction.ts
@@ -6,7 +6,7 @@
 const ROLLBACK_TIMEOUT_MS = 1000
 
 /** Rolls a transaction back and releases its connection, or closes the connection while a statement runs on it. */
-export async function rollBackTransaction ({ pooled, isBusy }: PinnedTransaction, pool: ConnectionPool, isClosed: boolean): Promise<void> {
+export async function releaseTransaction ({ pooled, isBusy }: PinnedTransaction, pool: ConnectionPool, isClosed: boolean): Promise<void> {
   if (isBusy || !pooled.connection.isOpen || isClosed) {
     pool.discard(pooled)
     return
