Drop removed directory entries when others are removed

They were dropped only when a promotion listed them, which happens only where replicas acknowledge commits. Elsewhere each removed entry stayed in memory for ever. Found by reading; tests of the directory and of commit holders pass (22).

--- a/packages/coordination/src/membership/upstream-directory.ts
+++ b/packages/coordination/src/membership/upstream-directory.ts
@@ -50,6 +50,7 @@
     const record = this.#records.get(id)
     this.#records.delete(id)
     if (record === undefined) return
+    for (const [left, { leftAt }] of this.#removed) if (now - leftAt > DEPARTURE_RETENTION_MS) this.#removed.delete(left)
     this.#removed.set(id, { record, leftAt: now })
     this.#recordDeparture(record, now)
     this.#addExpired(record, storeRecoveredAt, now)
@@ -66,8 +67,7 @@
 
   /** Databases of a group whose entry was removed within the retention time. They may still run, for example without a path to the store. */
   listDeparted (group: string, now: number): RemovedEntry[] {
-    for (const [id, { leftAt }] of this.#removed) if (now - leftAt > DEPARTURE_RETENTION_MS) this.#removed.delete(id)
-    return [...this.#removed.values()].filter(({ record }) => record.group === group && this.find(record.id, now) === undefined)
+    return [...this.#removed.values()].filter(({ record, leftAt }) => record.group === group && now - leftAt <= DEPARTURE_RETENTION_MS && this.find(record.id, now) === undefined)
   }
 
   listAll (now: number): UpstreamRecord[] {
