--- a/review/stand-ins-2/database.mjs
+++ b/review/stand-ins-2/database.mjs
@@ -10,6 +10,8 @@
   log = []
   /** Statements that ran: `{ id, text, tenant, at, values }`. */
   runs = []
+  /** Whether a statement fails with BUSY, which means that it did not run. */
+  isShed = () => false
   #group
   #sessions = new Set()
   #isDark = false
@@ -104,10 +106,12 @@
   }
 
   async #run (session, id, text) {
+    if (this.isShed(text)) return `ERR BUSY ${this.id}\r\n`
     const words = text.split(' ')
     if (words[0] === 'AFTER') {
-      const rest = text.slice(words[0].length + words[1].length + 2)
-      return this.#contains(words[1]) ? await this.#run(session, id, rest) : `ERR LAGGING ${this.id}\r\n`
+      if (!this.#contains(words[1])) return `ERR LAGGING ${this.id}\r\n`
+      text = text.slice(words[0].length + words[1].length + 2)
+      words.splice(0, 2)
     }
     if (words[0] === 'ROLLBACK') return this.#end(session)
     if (session.state === 'E') return 'ERR MALFORMED the transaction failed\r\n'
@@ -115,7 +119,7 @@
     const isEmptyCommit = words[0] === 'COMMIT' && session.writes.length === 0
     if (session.state === 'T' && !session.isReadOnly && !this.isPrimary && !isEmptyCommit) return this.#refuse(session)
     switch (words[0]) {
-      case 'BEGIN': return this.#begin(session, words[1] === 'READ')
+      case 'BEGIN': return session.state === 'T' ? 'ERR MALFORMED a transaction is open\r\n' : this.#begin(session, words[1] === 'READ')
       case 'COMMIT': return await this.#commit(session, id)
       case 'STATUS': return this.#describe()
       case 'STEPDOWN': return this.#describe()
