--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -12,6 +12,8 @@
 /** Host programs as separate processes, started with the command of the deploy file. */
 export class Fleet {
   hosts = []
+  /** Called when a process ended by itself. */
+  handleEnd = () => {}
   #directory = mkdtempSync(join(tmpdir(), 'tanagerusher-review-'))
   #record
 
@@ -66,6 +68,7 @@
       if (host.isEnding) return
       host.exits++
       this.#record(`process of ${host.name} ended by itself: code ${code}, signal ${signal}`)
+      this.handleEnd(host)
     })
   }
 
