Reuse a connection only if its database reports it as idle

Callers had single writes acknowledged that are in no log, and later reads succeeded without them, while a primary refused part of its statements.

Cause: a probe sends BEGIN and ROLLBACK on an idle connection of callers and looked only at the answer to BEGIN. When ROLLBACK was refused, the connection returned to the pool with an open transaction; the writes of the next callers ran in it and were rolled back by the next probe. The wire connection dropped the state in READY.

No database was promoted.

A connection now has the state that its database reported last, unknown while a response is outstanding. The pool checks it in one place, for each connection that is opened or released, and closes what is not proven idle. A transaction gets a statement only while its database reports it as open.

--- a/packages/coordination/src/common/caller-codec.ts
+++ b/packages/coordination/src/common/caller-codec.ts
@@ -1,6 +1,7 @@
 import type { Position } from '@tanagerusher/state/position/position'
 import type { CallerStatement } from '@tanagerusher/state/upstream/caller-statement'
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
+import type { TransactionState } from './transaction-state.js'
 
 export type CallerMessage =
   | { type: 'start', database: string, key: string | undefined }
@@ -8,9 +9,6 @@
   | { type: 'quit' }
   | { type: 'invalid' }
 
-/** `idle`: no transaction is open; `transaction`: one is open; `failed`: the open transaction can only be ended. */
-export type TransactionState = 'idle' | 'transaction' | 'failed'
-
 /** Parses a caller's bytes into messages and formats responses. Each connection needs its own, since it buffers incomplete messages. */
 export interface CallerCodec {
   /** @throws TanagerusherError `protocol-violation`; the connection must then be closed. */
--- a/packages/coordination/src/session/caller-session-state.ts
+++ b/packages/coordination/src/session/caller-session-state.ts
@@ -1,4 +1,4 @@
-import type { TransactionState } from '../common/caller-codec.js'
+import type { TransactionState } from '../common/transaction-state.js'
 import type { Position } from '@tanagerusher/state/position/position'
 import type { StatementAccess } from '@tanagerusher/state/upstream/upstream-command'
 import { comparePositions } from '@tanagerusher/state/position/compare-positions'
--- a/packages/host/src/upstream/connection-pool.ts
+++ b/packages/host/src/upstream/connection-pool.ts
@@ -103,10 +103,11 @@
     return undefined
   }
 
+  /** Makes a connection available again, or closes it unless the database's last response shows that no transaction is open on it. */
   release (pooled: PooledConnection): void {
     pooled.usedAt = this.#clock.readTime()
-    pooled.isIdle = true
-    if (!pooled.connection.isOpen || this.#isClosed || this.#connections.size > this.#limit) this.#closeConnection(pooled)
+    if (this.#isClosed || this.#connections.size > this.#limit) this.#closeConnection(pooled)
+    else this.#admit(pooled)
     this.#serveWaiters()
   }
 
@@ -172,10 +173,11 @@
     const opening = await this.#connect({ id, group, address, organisation })
     this.#openingCounts.set(organisation, (this.#openingCounts.get(organisation) as number) - 1)
     if (opening.type === 'opened') {
-      const pooled: PooledConnection = { connection: opening.connection, organisation, setup: ConnectionSetup.create(), isIdle: true, usedAt: this.#clock.readTime() }
+      const pooled: PooledConnection = { connection: opening.connection, organisation, setup: ConnectionSetup.create(), isIdle: false, usedAt: this.#clock.readTime() }
       this.#connections.add(pooled)
       opening.connection.onClose(() => { this.#removeClosed(pooled) })
       if (this.#isClosed) this.#closeConnection(pooled)
+      else this.#admit(pooled)
     } else if (opening.type === 'refused' && opening.failure === 'connection-limit' && !this.#isClosed) {
       this.#logger.warn('connection refused', { database: id, organisation, held: this.#connections.size, ...opening })
       this.#cap.recordRefusal(this.#connections.size, this.#clock.readTime())
@@ -210,6 +212,14 @@
     }, stepMs)
   }
 
+  #admit (pooled: PooledConnection): void {
+    const { connection: { isOpen, transactionState }, organisation } = pooled
+    pooled.isIdle = isOpen && transactionState === 'idle'
+    if (pooled.isIdle) return
+    if (isOpen) this.#logger.warn('connection closed because its database did not report it as idle', { database: this.#record.id, organisation, state: transactionState })
+    this.#closeConnection(pooled)
+  }
+
   #removeClosed (pooled: PooledConnection): void {
     if (this.#connections.delete(pooled)) this.#serveWaiters()
   }
--- a/packages/host/src/upstream/database-control.ts
+++ b/packages/host/src/upstream/database-control.ts
@@ -81,16 +81,17 @@
   }
 
   async #runProbe (): Promise<boolean> {
-    const { pool, primary, clock } = this.#options
+    const { record, pool, primary, clock, logger } = this.#options
     const pooled = await this.#acquire()
     if (pooled === undefined) return false
     const sentAt = clock.readTime()
     const lease = primary.check(false)
-    const [begin] = await Promise.all(pooled.connection.send([{ type: 'begin', isReadOnly: false, after: undefined }, { type: 'rollback' }], PROBE_TIMEOUT_MS)) as [StatementResponse, StatementResponse]
+    const [begin, rollback] = await Promise.all(pooled.connection.send([{ type: 'begin', isReadOnly: false, after: undefined }, { type: 'rollback' }], PROBE_TIMEOUT_MS)) as [StatementResponse, StatementResponse]
     this.recordHealth(begin)
     // A replaced primary may respond like the current one; its response confirms leadership only if this host holds the lease.
     if (lease.type === 'held' || begin.type === 'failed') this.recordLeadership(begin, sentAt)
     if (begin.type !== 'lost') {
+      if (rollback.type !== 'done') logger.info('probe did not end its transaction', { database: record.id, begin: begin.type, rollback, state: pooled.connection.transactionState })
       pool.release(pooled)
       return true
     }
--- a/packages/host/src/upstream/database-owner.ts
+++ b/packages/host/src/upstream/database-owner.ts
@@ -197,7 +197,7 @@
     const [answer] = await this.#primary.track([read]) as [StatementResponse]
     record(answer, sentAt)
     this.#control.recordHealth(answer)
-    void rollback.then((ended) => { ended.type === 'done' ? this.#pool.release(pooled) : this.#pool.discard(pooled) })
+    void rollback.then(() => { this.#pool.release(pooled) })
     return this.#buildResult(answer, true)
   }
 
@@ -277,10 +277,10 @@
     const answer = answers.at(-1) as StatementResponse
     this.#control.recordHealth(answer)
     if (isOnPrimary) this.#control.recordLeadership(answer, sentAt)
-    if (answers.every(({ type }) => type === 'done')) return undefined
+    if (answers.every(({ type }) => type === 'done') && pooled.connection.transactionState === 'transaction') return undefined
     if (answer.type === 'failed' && answers.slice(0, -1).every(({ type }) => type === 'done')) this.#pool.release(pooled)
     else this.#pool.discard(pooled)
-    return this.#buildResult(answer.type === 'done' ? { type: 'lost', reason: 'session values were refused' } : answer, false)
+    return this.#buildResult(answer.type === 'done' ? { type: 'lost', reason: 'the database refused session values or did not open the transaction' } : answer, false)
   }
 
   async #runInTransaction (params: UpstreamExecuteParams, operation: Operation<'run'>): Promise<UpstreamExecuteResult> {
@@ -322,7 +322,7 @@
     try {
       // The first statement is checked again, since nothing of the caller's has been sent before it; an open transaction stays where it is.
       if (isOpening(params.operation) && !this.#isPermitted(this.#record, params)) return this.#refuseUnpermitted()
-      if (!transaction.pooled.connection.isOpen) return this.#isClosed ? this.#refuseClosed(params) : this.#refuse('aborted', 'the connection of the transaction ended')
+      if (transaction.pooled.connection.transactionState !== 'transaction' || !transaction.pooled.connection.isOpen) return this.#isClosed ? this.#refuseClosed(params) : this.#refuse('aborted', 'the transaction has ended at its database')
       const sentAt = this.#clock.readTime()
       const sent = await this.#send(transaction.pooled, buildCommands(), this.#computeTimeout(deadline), transaction.isOnPrimary, true)
       if (sent === undefined) return this.#isClosed ? this.#refuseClosed(params) : this.#refuse('aborted', 'another primary takes over')
--- a/packages/host/src/upstream/release-transaction.ts
+++ b/packages/host/src/upstream/release-transaction.ts
@@ -1,4 +1,3 @@
-import type { StatementResponse } from '@tanagerusher/state/upstream/statement-response'
 import type { ConnectionPool } from './connection-pool.js'
 import type { PinnedTransaction } from './pinned-transaction.js'
 
@@ -11,7 +10,6 @@
     pool.discard(pooled)
     return
   }
-  const [answer] = await Promise.all(pooled.connection.send([{ type: 'rollback' }], ROLLBACK_TIMEOUT_MS)) as [StatementResponse]
-  if (answer.type === 'done') pool.release(pooled)
-  else pool.discard(pooled)
+  await Promise.all(pooled.connection.send([{ type: 'rollback' }], ROLLBACK_TIMEOUT_MS))
+  pool.release(pooled)
 }
--- a/packages/host/test/owner-deadline.test.ts
+++ b/packages/host/test/owner-deadline.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { UpstreamConnection } from '@tanagerusher/coordination/common/upstream-connection'
 import { DatabaseEnforcedLeases } from '@tanagerusher/coordination/failover/database-enforced-leases'
 import type { UpstreamExecuteParams } from '@tanagerusher/protocol/peer/upstream-execute'
 import { createLogger } from '@tanagerusher/runtime/log/create-logger'
@@ -8,6 +7,7 @@
 import type { UpstreamCommand } from '@tanagerusher/state/upstream/upstream-command'
 import { delay } from '../src/program/delay.js'
 import { DatabaseOwner } from '../src/upstream/database-owner.js'
+import { createFakeConnection } from './fixtures/create-fake-connection.js'
 
 const TIME_LEFT_MS = 400
 const CONNECT_MS = 150
@@ -23,16 +23,12 @@
     if (command.type === 'begin') await delay(BEGIN_MS)
     return command.type === 'run' && command.id === 'endless' ? await new Promise(() => {}) : done
   }
-  const send: UpstreamConnection['send'] = (commands, timeoutMs) => {
-    sent.push(...commands.map(({ type }) => ({ type, timeoutMs })))
-    return commands.map(answer)
-  }
   const owner = DatabaseOwner.create({
     record: { id: 'd', group: 'g', address: '127.0.0.1:1', dataCentre: 'a', slots: 1, isLeaving: false, claimsPrimary: true, startedAt: 0, warmupLeftMs: 0, revision: 1 },
     connector: {
       open: async () => {
         await delay(CONNECT_MS)
-        return { type: 'opened', connection: { isOpen: true, send, onClose: () => {}, close: () => {} }, position }
+        return { type: 'opened', connection: createFakeConnection(answer, (commands, timeoutMs) => { sent.push(...commands.map(({ type }) => ({ type, timeoutMs }))) }), position }
       }
     },
     clock: { readTime: () => performance.now() },
--- a/packages/host/test/queued-operation.test.ts
+++ b/packages/host/test/queued-operation.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { UpstreamConnection } from '@tanagerusher/coordination/common/upstream-connection'
 import { PauseDetector } from '@tanagerusher/coordination/clock/pause-detector'
 import { DatabaseEnforcedLeases } from '@tanagerusher/coordination/failover/database-enforced-leases'
 import type { UpstreamExecuteParams } from '@tanagerusher/protocol/peer/upstream-execute'
@@ -9,6 +8,7 @@
 import type { UpstreamCommand } from '@tanagerusher/state/upstream/upstream-command'
 import { DatabaseOwner } from '../src/upstream/database-owner.js'
 import { delay } from '../src/program/delay.js'
+import { createFakeConnection } from './fixtures/create-fake-connection.js'
 
 const done: StatementResponse = { type: 'done', proof: 'p', rows: [], position: undefined }
 const position = { term: 1, position: 1 }
@@ -35,11 +35,10 @@
     ran.push(command.id)
     return command.id === 'slow' ? await new Promise((resolve) => respond.set(command.id, resolve)) : done
   }
-  const connection: UpstreamConnection = { isOpen: true, send: (commands) => commands.map(answer), onClose: () => {}, close: () => {} }
   let isPermitted = true
   const owner = DatabaseOwner.create({
     record: { id: 'd', group: 'g', address: '127.0.0.1:1', dataCentre: 'a', slots: 1, isLeaving: false, claimsPrimary: false, startedAt: 0, warmupLeftMs: 0, revision: 1 },
-    connector: { open: async () => ({ type: 'opened', connection, position }) },
+    connector: { open: async () => ({ type: 'opened', connection: createFakeConnection(answer), position }) },
     clock: { readTime: () => performance.now() },
     logger: createLogger({ label: 'host', level: 'error', stream: 'stdout' }),
     events: { handleLeaderConfirmation: () => {}, handleLeaderRefusal: () => {}, waitForReadPosition: async () => {}, findReadPosition: () => position, findClosure: () => undefined, handleEvacuationRefusal: () => {}, findWarmupRate: () => undefined, handleRecovery: () => {} },
