Send a statement only after its SET and PREPARE were confirmed

Sessions whose SET was acknowledged wrote with the values of another session and got a success, and sessions whose PREPARE was acknowledged got NOSTMT, while a primary refused part of its statements.

Cause: the host answers SET and PREPARE itself and sent them in one batch with the statement that needs them. The statement ran whatever the answers were; a failure only closed the connection afterwards.

StatementSender waits for the answers to SET, PREPARE, RESET and DEALLOC and refuses the statement as not run if one fails. The pool prefers a connection that holds the values and the name, which needs no round trip, and BEGIN, which is waited for anyway, takes the set-up along.

--- a/packages/coordination/src/transaction/connection-setup.ts
+++ b/packages/coordination/src/transaction/connection-setup.ts
@@ -7,6 +7,7 @@
  * that must precede a statement so that it runs with exactly the values and the prepared statement of its caller's session.
  */
 export class ConnectionSetup {
+  #isKnown = true
   #values = new Map<string, string>()
   #prepared = new Map<string, string>()
 
@@ -16,15 +17,25 @@
 
   /** Returns whether the connection holds exactly these values. */
   hasValues (values: ReadonlyArray<[string, string]>): boolean {
-    return values.length === this.#values.size && values.every(([name, value]) => this.#values.get(name) === value)
+    return this.#isKnown && values.length === this.#values.size && values.every(([name, value]) => this.#values.get(name) === value)
+  }
+
+  hasPrepared ({ name, access, shape }: PreparedStatement): boolean { return this.#prepared.get(name) === formatDefinition(access, shape) }
+
+  /** Records that the state of the connection is unknown. The next commands begin with RESET. */
+  clear (): void {
+    this.#isKnown = false
+    this.#values = new Map()
+    this.#prepared = new Map()
   }
 
   /** Returns the commands to send and records them as executed. The connection must be closed when one of them fails. */
   listCommands (values: ReadonlyArray<[string, string]>, statement: PreparedStatement | undefined): UpstreamCommand[] {
     const commands: UpstreamCommand[] = []
     const requested = new Map(values)
-    if ([...this.#values.keys()].some((name) => !requested.has(name))) {
+    if (!this.#isKnown || [...this.#values.keys()].some((name) => !requested.has(name))) {
       commands.push({ type: 'reset' })
+      this.#isKnown = true
       this.#values = new Map()
       this.#prepared = new Map()
     }
@@ -38,7 +49,7 @@
   }
 
   #prepare ({ name, access, shape }: PreparedStatement): UpstreamCommand[] {
-    const definition = `${access} ${shape}`
+    const definition = formatDefinition(access, shape)
     const current = this.#prepared.get(name)
     if (current === definition) return []
     this.#prepared.set(name, definition)
@@ -46,3 +57,5 @@
     return current === undefined ? [prepare] : [{ type: 'deallocate', name }, prepare]
   }
 }
+
+function formatDefinition (access: StatementAccess, shape: string): string { return `${access} ${shape}` }
--- a/packages/host/src/upstream/connection-pool.ts
+++ b/packages/host/src/upstream/connection-pool.ts
@@ -4,6 +4,7 @@
 import { ConnectionCap } from '@tanagerusher/coordination/fairness/connection-cap'
 import { ConnectionSetup } from '@tanagerusher/coordination/transaction/connection-setup'
 import { planConnection } from '@tanagerusher/coordination/transaction/plan-connection'
+import type { UpstreamExecuteParams } from '@tanagerusher/protocol/peer/upstream-execute'
 import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
 import type { UpstreamRecord } from '@tanagerusher/state/upstream/upstream-record'
 import type { Logger } from 'winston'
@@ -14,9 +15,16 @@
   | { type: 'refused', failure: StatementFailure, text: string }
   | { type: 'unreachable', reason: string }
 
-interface Waiter {
+interface AcquireOptions {
   organisation: string
-  values: ReadonlyArray<[string, string]>
+  values?: ReadonlyArray<[string, string]>
+  /** Prepared statement that the work executes. */
+  needed?: UpstreamExecuteParams['needed']
+  timeoutMs: number
+}
+
+interface Waiter {
+  options: AcquireOptions
   timer: NodeJS.Timeout
   resolve: (acquisition: Acquisition) => void
 }
@@ -70,13 +78,14 @@
     this.#serveWaiters()
   }
 
-  async acquire (organisation: string, values: ReadonlyArray<[string, string]>, timeoutMs: number): Promise<Acquisition> {
+  /** Prefers connections that hold the values and the prepared statement of the session, which need no round trip before the statement. */
+  async acquire (options: AcquireOptions): Promise<Acquisition> {
     if (this.#isClosed) return { type: 'unreachable', reason: 'the host gave the database up' }
-    const idle = this.#takeIdle(organisation, values)
+    const idle = this.#takeIdle(options)
     if (idle !== undefined) return { type: 'acquired', pooled: idle }
     return await new Promise((resolve) => {
-      const timer = setTimeout(() => { this.#handleWaitTimeout(waiter) }, timeoutMs)
-      const waiter: Waiter = { organisation, values, timer, resolve }
+      const timer = setTimeout(() => { this.#handleWaitTimeout(waiter) }, options.timeoutMs)
+      const waiter: Waiter = { options, timer, resolve }
       this.#waiters.push(waiter)
       this.#serveWaiters()
     })
@@ -135,32 +144,37 @@
     for (const waiter of this.#removeWaiters(() => true)) waiter.resolve({ type: 'unreachable', reason: 'the host gave the database up' })
   }
 
-  #takeIdle (organisation: string, values: ReadonlyArray<[string, string]>): PooledConnection | undefined {
-    let found: PooledConnection | undefined
+  #takeIdle ({ organisation, values = [], needed }: AcquireOptions): PooledConnection | undefined {
+    let withValues: PooledConnection | undefined
+    let other: PooledConnection | undefined
     for (const pooled of this.#connections) {
       if (!pooled.isIdle || pooled.organisation !== organisation || !pooled.connection.isOpen) continue
-      found = pooled
-      if (pooled.setup.hasValues(values)) break
+      if (!pooled.setup.hasValues(values)) other = pooled
+      else {
+        withValues = pooled
+        if (needed === undefined || pooled.setup.hasPrepared(needed)) break
+      }
     }
+    const found = withValues ?? other
     if (found !== undefined) found.isIdle = false
     return found
   }
 
   #serveWaiters (): void {
     for (const waiter of [...this.#waiters]) {
-      const pooled = this.#takeIdle(waiter.organisation, waiter.values)
+      const pooled = this.#takeIdle(waiter.options)
       if (pooled !== undefined) {
         this.#removeWaiter(waiter)
         waiter.resolve({ type: 'acquired', pooled })
         continue
       }
-      this.#openIfAllowed(waiter.organisation)
+      this.#openIfAllowed(waiter.options.organisation)
     }
     if (this.#waiters.length === 0) this.#handleConnectionAvailable()
   }
 
   #openIfAllowed (organisation: string): void {
-    const waiting = this.#waiters.filter((waiter) => waiter.organisation === organisation).length
+    const waiting = this.#waiters.filter(({ options }) => options.organisation === organisation).length
     const plan = planConnection({ organisation, connections: [...this.#connections], opening: this.#openingCounts, waiting, limit: this.#cap.computeLimit(this.#limit, this.#clock.readTime()) })
     if (plan.type === 'wait') return
     if (plan.type === 'replace') this.#closeConnection(plan.victim)
@@ -184,7 +198,7 @@
       this.#startGrowTimer()
     } else {
       this.#logger.warn('connection refused', { database: id, organisation, ...opening })
-      for (const waiter of this.#removeWaiters((other) => other.organisation === organisation)) waiter.resolve(opening)
+      for (const waiter of this.#removeWaiters(({ options }) => options.organisation === organisation)) waiter.resolve(opening)
     }
     this.#serveWaiters()
   }
--- a/packages/host/src/upstream/database-control.ts
+++ b/packages/host/src/upstream/database-control.ts
@@ -105,7 +105,7 @@
     const { pool, health, clock } = this.#options
     const idle = pool.acquireAnyIdle()
     if (idle !== undefined) return idle
-    const acquisition = await pool.acquire(this.organisation, [], PROBE_TIMEOUT_MS)
+    const acquisition = await pool.acquire({ organisation: this.organisation, timeoutMs: PROBE_TIMEOUT_MS })
     if (acquisition.type === 'acquired') return acquisition.pooled
     if (acquisition.type === 'unreachable') health.recordFailure(clock.readTime())
     return undefined
--- a/packages/host/src/upstream/database-owner.ts
+++ b/packages/host/src/upstream/database-owner.ts
@@ -22,6 +22,7 @@
 import { PrimaryGuard } from './primary-guard.js'
 import { releaseTransaction } from './release-transaction.js'
 import { SlotLimiter } from './slot-limiter.js'
+import { StatementSender } from './statement-sender.js'
 import { WritePause } from './write-pause.js'
 
 interface CreateOptions {
@@ -37,8 +38,6 @@
   pauses: PauseDetector | undefined
 }
 
-interface SentCommands { answers: StatementResponse[], revision: number }
-
 type RecordResponse = (answer: StatementResponse, sentAt: number) => void
 
 type Operation<Type> = Extract<UpstreamExecuteParams['operation'], { type: Type }>
@@ -57,6 +56,7 @@
   readonly #slots: SlotLimiter
   readonly #primary: PrimaryGuard
   readonly #control: DatabaseControl
+  readonly #sender: StatementSender
   readonly #health = UpstreamHealth.create()
   readonly #transactions = PinnedTransactions.create()
   readonly #writePause = WritePause.create()
@@ -72,6 +72,7 @@
     this.#capacity = CapacityRecorder.create({ record, slots: this.#slots, pauses, clock, logger })
     this.#primary = PrimaryGuard.create({ leases, group: record.group, databaseId: record.id, clock, checkClocks })
     this.#control = DatabaseControl.create({ record, pool: this.#pool, primary: this.#primary, health: this.#health, clock, logger, events })
+    this.#sender = StatementSender.create({ databaseId: record.id, primary: this.#primary, isClosed: () => this.#isClosed, logger })
     this.#usedAt = clock.readTime()
   }
 
@@ -170,24 +171,21 @@
       if (!this.#isPermitted(this.#record, params)) return this.#refuseUnpermitted()
       const after = replicaRead === undefined ? undefined : this.#events.findReadPosition(this.#record, replicaRead.maxStalenessMs, replicaRead.floor)
       if (replicaRead !== undefined && after === undefined) return this.#refuse('busy', 'no position of the primary inside the bound is known')
-      const acquisition = await this.#pool.acquire(organisation, values, Math.min(CONNECTION_WAIT_MS, deadline - this.#clock.readTime()))
+      const acquisition = await this.#pool.acquire({ organisation, values, needed, timeoutMs: Math.min(CONNECTION_WAIT_MS, deadline - this.#clock.readTime()) })
       if (acquisition.type !== 'acquired') return this.#refuseAcquisition(acquisition)
       const { pooled } = acquisition
-      const timeoutMs = this.#computeTimeout(deadline)
-      const setup = pooled.setup.listCommands(values, needed)
-      const run: UpstreamCommand = { type: 'run', id: operation.id, text: operation.text, after: undefined }
+      const run: UpstreamCommand = { type: 'run', id: operation.id, text: operation.text, after }
       const record = (answer: StatementResponse, sentAt: number): void => { this.#capacity.recordResponse(slot.id, params, answer, sentAt) }
-      if (operation.access === 'write') return await this.#finishSingle(pooled, [...setup, run], setup.length, timeoutMs, true, record)
-      if (after !== undefined) return await this.#finishSingle(pooled, [...setup, { ...run, after }], setup.length, timeoutMs, false, record)
-      return await this.#runPrimaryRead(pooled, setup, run, deadline, record)
+      if (operation.access === 'read' && after === undefined) return await this.#runPrimaryRead(pooled, params, run, deadline, record)
+      return await this.#finishSingle(pooled, params, run, deadline, record)
     } finally {
       this.#slots.release(slot.id)
     }
   }
 
   /** Reads inside a transaction, because a plain read also succeeds on a database that is no longer the primary. */
-  async #runPrimaryRead (pooled: PooledConnection, setup: UpstreamCommand[], run: UpstreamCommand, deadline: number, record: RecordResponse): Promise<UpstreamExecuteResult> {
-    const refused = await this.#openTransaction(pooled, setup, { type: 'begin', isReadOnly: false, after: undefined }, this.#computeTimeout(deadline), true)
+  async #runPrimaryRead (pooled: PooledConnection, params: UpstreamExecuteParams, run: UpstreamCommand, deadline: number, record: RecordResponse): Promise<UpstreamExecuteResult> {
+    const refused = await this.#openTransaction(pooled, params, { type: 'begin', isReadOnly: false, after: undefined }, deadline)
     if (refused !== undefined) return refused
     const check = this.#primary.check(true)
     if (check.type === 'refused') return this.#refuseUnsent(pooled, check.reason)
@@ -198,31 +196,27 @@
     record(answer, sentAt)
     this.#control.recordHealth(answer)
     void rollback.then(() => { this.#pool.release(pooled) })
-    return this.#buildResult(answer, true)
+    return this.#buildResult(this.#sender.checkPrepared(pooled, answer, params), true)
   }
 
-  async #finishSingle (pooled: PooledConnection, commands: UpstreamCommand[], setupCount: number, timeoutMs: number, isOnPrimary: boolean, record: RecordResponse): Promise<UpstreamExecuteResult> {
+  async #finishSingle (pooled: PooledConnection, params: UpstreamExecuteParams, run: UpstreamCommand, deadline: number, record: RecordResponse): Promise<UpstreamExecuteResult> {
+    const isOnPrimary = params.replicaRead === undefined
+    const failure = await this.#sender.setUp(pooled, params, this.#computeTimeout(deadline))
+    if (failure !== undefined) {
+      this.#control.recordHealth(failure)
+      this.#pool.discard(pooled)
+      return this.#buildResult(failure, false)
+    }
     const sentAt = this.#clock.readTime()
-    const sent = await this.#send(pooled, commands, timeoutMs, isOnPrimary, false)
+    const sent = await this.#sender.send(pooled, [run], this.#computeTimeout(deadline), { needsPrimary: isOnPrimary, isJoining: false })
     if (sent === undefined) return this.#refuseUnsent(pooled, 'changing')
-    const { answers, revision } = sent
-    const answer = answers.at(-1) as StatementResponse
-    record(answer, sentAt)
+    const [response] = sent.answers as [StatementResponse]
+    record(response, sentAt)
+    const answer = this.#sender.checkPrepared(pooled, response, params)
     this.#control.recordHealth(answer)
     if (isOnPrimary) this.#control.recordLeadership(answer, sentAt)
-    const isReusable = answer.type !== 'lost' && answers.slice(0, setupCount).every(({ type }) => type === 'done')
-    if (isReusable) this.#pool.release(pooled)
-    else this.#pool.discard(pooled)
-    return this.#buildResult(isOnPrimary ? await this.#primary.decideCommit(answer, revision, sentAt + timeoutMs - this.#clock.readTime()) : answer, true)
-  }
-
-  /** Sends the commands in one batch. Returns undefined, and sends nothing, when the primary lease has ended or the database is closed. */
-  async #send (pooled: PooledConnection, commands: UpstreamCommand[], timeoutMs: number, needsPrimary: boolean, isJoining: boolean): Promise<SentCommands | undefined> {
-    if (this.#isClosed) return undefined
-    if (!needsPrimary) return { answers: await Promise.all(pooled.connection.send(commands, timeoutMs)), revision: 0 }
-    const check = this.#primary.check(isJoining)
-    if (check.type === 'refused') return undefined
-    return { answers: await this.#primary.track(pooled.connection.send(commands, timeoutMs)), revision: check.revision }
+    this.#pool.release(pooled)
+    return this.#buildResult(isOnPrimary ? await this.#primary.decideCommit(answer, sent.revision, deadline - this.#clock.readTime()) : answer, true)
   }
 
   /**
@@ -236,7 +230,7 @@
   }
 
   async #begin (params: UpstreamExecuteParams, operation: Pick<Operation<'begin'>, 'isReadOnly'>): Promise<UpstreamExecuteResult> {
-    const { session, organisation, values, replicaRead, timeLeftMs } = params
+    const { session, organisation, values, needed, replicaRead, timeLeftMs } = params
     const deadline = this.#clock.readTime() + timeLeftMs
     if (!this.#health.takeTrial(this.#clock.readTime())) return this.#refuse('busy', 'the database does not answer')
     if (replicaRead !== undefined) await this.#events.waitForReadPosition(this.#record, replicaRead.maxStalenessMs)
@@ -244,7 +238,7 @@
     if (this.#transactions.size >= Math.max(1, this.#pool.limit - this.#record.slots)) {
       return this.#refuse('busy', this.#describeLoad('too many open transactions'))
     }
-    const acquisition = await this.#pool.acquire(organisation, values, this.#computeTimeout(deadline))
+    const acquisition = await this.#pool.acquire({ organisation, values, needed, timeoutMs: this.#computeTimeout(deadline) })
     if (acquisition.type !== 'acquired') return this.#refuseAcquisition(acquisition)
     const { pooled } = acquisition
     if (!this.#isPermitted(this.#record, params)) {
@@ -259,8 +253,7 @@
     const isOnPrimary = replicaRead === undefined
     // A read-only transaction continues on a database that is no longer the primary, a read-write one does not.
     const begin: UpstreamCommand = { type: 'begin', isReadOnly: operation.isReadOnly && !isOnPrimary, after }
-    const setup = pooled.setup.listCommands(values, undefined)
-    const refused = await this.#openTransaction(pooled, setup, begin, this.#computeTimeout(deadline), isOnPrimary)
+    const refused = await this.#openTransaction(pooled, params, begin, deadline)
     if (refused !== undefined) return refused
     // The database may have been closed during the response, after its open transactions were aborted.
     if (this.#isClosed) return this.#refuseUnsent(pooled, 'closed')
@@ -269,29 +262,30 @@
   }
 
   /** Sends BEGIN and waits for its response, because a statement sent after a refused BEGIN runs outside of a transaction. */
-  async #openTransaction (pooled: PooledConnection, setup: UpstreamCommand[], begin: UpstreamCommand, timeoutMs: number, isOnPrimary: boolean): Promise<UpstreamExecuteResult | undefined> {
+  async #openTransaction (pooled: PooledConnection, params: UpstreamExecuteParams, begin: UpstreamCommand, deadline: number): Promise<UpstreamExecuteResult | undefined> {
+    const isOnPrimary = params.replicaRead === undefined
+    const setup = pooled.setup.listCommands(params.values, params.needed)
     const sentAt = this.#clock.readTime()
-    const sent = await this.#send(pooled, [...setup, begin], timeoutMs, isOnPrimary, false)
+    const sent = await this.#sender.send(pooled, [...setup, begin], this.#computeTimeout(deadline), { needsPrimary: isOnPrimary, isJoining: false })
     if (sent === undefined) return this.#refuseUnsent(pooled, 'changing')
-    const { answers } = sent
-    const answer = answers.at(-1) as StatementResponse
+    const answer = sent.answers.at(-1) as StatementResponse
     this.#control.recordHealth(answer)
     if (isOnPrimary) this.#control.recordLeadership(answer, sentAt)
-    if (answers.every(({ type }) => type === 'done') && pooled.connection.transactionState === 'transaction') return undefined
-    if (answer.type === 'failed' && answers.slice(0, -1).every(({ type }) => type === 'done')) this.#pool.release(pooled)
-    else this.#pool.discard(pooled)
-    return this.#buildResult(answer.type === 'done' ? { type: 'lost', reason: 'the database refused session values or did not open the transaction' } : answer, false)
+    const failure = this.#sender.findSetupFailure(setup, sent.answers.slice(0, -1), params)
+    if (failure !== undefined) {
+      this.#pool.discard(pooled)
+      return this.#buildResult(failure, false)
+    }
+    if (answer.type === 'done' && pooled.connection.transactionState === 'transaction') return undefined
+    this.#pool.release(pooled)
+    return answer.type === 'done' ? this.#refuse('busy', 'the database did not open the transaction') : this.#buildResult(answer, false)
   }
 
   async #runInTransaction (params: UpstreamExecuteParams, operation: Operation<'run'>): Promise<UpstreamExecuteResult> {
     const transaction = this.#transactions.get(params.session)
     if (transaction === undefined) return this.#refuse('aborted', 'the transaction has ended')
-    const { pooled } = transaction
     transaction.hasWritten ||= operation.access === 'write'
-    const answer = await this.#sendWithSlot(params, transaction, () => {
-      const setup = pooled.setup.listCommands(params.values, params.needed)
-      return [...setup, { type: 'run', id: operation.id, text: operation.text, after: undefined }]
-    })
+    const answer = await this.#sendWithSlot(params, transaction, { type: 'run', id: operation.id, text: operation.text, after: undefined })
     if (answer.answer.type !== 'done') this.#rollback(params.session)
     return answer
   }
@@ -300,7 +294,7 @@
     const transaction = this.#transactions.get(params.session)
     if (transaction === undefined) return this.#refuse('aborted', 'the transaction has ended')
     const sentAt = this.#clock.readTime()
-    const result = await this.#sendWithSlot(params, transaction, () => [{ type: 'commit', id: operation.id }])
+    const result = await this.#sendWithSlot(params, transaction, { type: 'commit', id: operation.id })
     if (result.answer.type === 'done') {
       this.#transactions.delete(params.session)
       this.#pool.release(transaction.pooled)
@@ -310,8 +304,9 @@
     return result
   }
 
-  async #sendWithSlot (params: UpstreamExecuteParams, transaction: PinnedTransaction, buildCommands: () => UpstreamCommand[]): Promise<UpstreamExecuteResult> {
+  async #sendWithSlot (params: UpstreamExecuteParams, transaction: PinnedTransaction, command: UpstreamCommand): Promise<UpstreamExecuteResult> {
     const { organisation, priority, timeLeftMs } = params
+    const { pooled } = transaction
     const deadline = this.#clock.readTime() + timeLeftMs
     transaction.isBusy = true
     const slot = await this.#slots.wait({ organisation, priority, timeLeftMs, isPinned: true })
@@ -322,12 +317,18 @@
     try {
       // The first statement is checked again, since nothing of the caller's has been sent before it; an open transaction stays where it is.
       if (isOpening(params.operation) && !this.#isPermitted(this.#record, params)) return this.#refuseUnpermitted()
-      if (transaction.pooled.connection.transactionState !== 'transaction' || !transaction.pooled.connection.isOpen) return this.#isClosed ? this.#refuseClosed(params) : this.#refuse('aborted', 'the transaction has ended at its database')
+      if (pooled.connection.transactionState !== 'transaction' || !pooled.connection.isOpen) return this.#isClosed ? this.#refuseClosed(params) : this.#refuse('aborted', 'the transaction has ended at its database')
+      const failure = command.type === 'run' ? await this.#sender.setUp(pooled, params, this.#computeTimeout(deadline)) : undefined
+      if (failure !== undefined) {
+        this.#control.recordHealth(failure)
+        return this.#buildResult(failure, false)
+      }
       const sentAt = this.#clock.readTime()
-      const sent = await this.#send(transaction.pooled, buildCommands(), this.#computeTimeout(deadline), transaction.isOnPrimary, true)
+      const sent = await this.#sender.send(pooled, [command], this.#computeTimeout(deadline), { needsPrimary: transaction.isOnPrimary, isJoining: true })
       if (sent === undefined) return this.#isClosed ? this.#refuseClosed(params) : this.#refuse('aborted', 'another primary takes over')
-      const answer = sent.answers.at(-1) as StatementResponse
-      this.#capacity.recordResponse(slot.id, params, answer, sentAt)
+      const [response] = sent.answers as [StatementResponse]
+      this.#capacity.recordResponse(slot.id, params, response, sentAt)
+      const answer = this.#sender.checkPrepared(pooled, response, params)
       this.#control.recordHealth(answer)
       const isCommitOfWrites = params.operation.type === 'commit' && transaction.isOnPrimary && transaction.hasWritten
       return this.#buildResult(isCommitOfWrites ? await this.#primary.decideCommit(answer, sent.revision, deadline - this.#clock.readTime()) : answer, true)
--- a/packages/host/test/connection-pool.test.ts
+++ b/packages/host/test/connection-pool.test.ts
@@ -14,7 +14,7 @@
   })
   pool.updateLimit(2)
   const startedAt = performance.now()
-  const acquisitions = await Promise.all([pool.acquire('o', [], 2000), pool.acquire('o', [], 2000)])
+  const acquisitions = await Promise.all([pool.acquire({ organisation: 'o', timeoutMs: 2000 }), pool.acquire({ organisation: 'o', timeoutMs: 2000 })])
   assert.deepEqual(acquisitions.map(({ type }) => type), ['unreachable', 'unreachable'])
   assert.ok(performance.now() - startedAt < 1000)
   pool.close()
