Record a connection's values and names from the answers to them

After a change of primary, sessions whose SET was acknowledged read without the value, and sessions whose PREPARE was acknowledged got NOSTMT, for as long as a connection lived.

Cause: ConnectionSetup recorded SET, RESET and PREPARE as carried out when they were sent and relied on its callers to close the connection when one failed. In a transaction at a database that had lost the lead they were refused with READONLY; the transaction was rolled back and its connection returned to the pool.

listCommands records nothing, recordResponse records each command with its answer. What did not run changes nothing; what may have run although it failed leaves the state unknown, and the connection gets RESET before its next use. A connection whose set-up was refused is reused instead of closed.

--- a/packages/coordination/src/outcome/decide-statement-outcome.ts
+++ b/packages/coordination/src/outcome/decide-statement-outcome.ts
@@ -1,6 +1,6 @@
 import type { StatementResponse } from '@tanagerusher/state/upstream/statement-response'
-import type { StatementFailure } from '@tanagerusher/state/upstream/statement-failure'
 import type { StatementAccess } from '@tanagerusher/state/upstream/upstream-command'
+import { isNotRun } from './is-not-run.js'
 
 interface StatementResult { answer: StatementResponse, wasSent: boolean }
 
@@ -9,9 +9,6 @@
   /** The statement has not run, or it is a read that can safely run again. */
   | { type: 'retry', reason: string }
 
-/** Failures with which a database states that it has not run the statement. */
-const NOT_RUN_FAILURES: ReadonlySet<StatementFailure> = new Set(['busy', 'unknown-statement', 'lagging', 'not-primary', 'wrong-upstream', 'connection-limit'])
-
 /**
  * Decides whether a statement outside of a transaction is retried or its result is returned to the caller. A write that may
  * have been sent is never retried and never reported as "not run", unless the database itself reported that it did not run.
@@ -24,6 +21,6 @@
     return { type: 'answer', answer: { type: 'failed', failure: 'outcome-unknown', text: answer.reason, position: undefined } }
   }
   if (answer.failure === 'unknown-statement') return { type: 'answer', answer }
-  if (NOT_RUN_FAILURES.has(answer.failure) || !mayHaveRun) return { type: 'retry', reason: `${answer.failure}: ${answer.text}` }
+  if (isNotRun(answer.failure) || !mayHaveRun) return { type: 'retry', reason: `${answer.failure}: ${answer.text}` }
   return { type: 'answer', answer }
 }
--- a/packages/coordination/src/transaction/connection-setup.ts
+++ b/packages/coordination/src/transaction/connection-setup.ts
@@ -1,15 +1,19 @@
+import type { StatementResponse } from '@tanagerusher/state/upstream/statement-response'
 import type { StatementAccess, UpstreamCommand } from '@tanagerusher/state/upstream/upstream-command'
+import { isNotRun } from '../outcome/is-not-run.js'
 
 interface PreparedStatement { name: string, access: StatementAccess, shape: string }
 
 /**
- * Session settings and prepared statements that one upstream connection currently holds. `listCommands` returns the commands
- * that must precede a statement so that it runs with exactly the values and the prepared statement of its caller's session.
+ * Session settings and prepared statements that one upstream connection holds according to its database's responses. `listCommands`
+ * returns the commands that must succeed before a statement, so that it runs with exactly the values and the prepared statement of
+ * its caller's session.
  */
 export class ConnectionSetup {
+  /** False while the connection may hold values or prepared statements that are not recorded here. */
   #isKnown = true
-  #values = new Map<string, string>()
-  #prepared = new Map<string, string>()
+  readonly #values = new Map<string, string>()
+  readonly #prepared = new Map<string, string>()
 
   static create (): ConnectionSetup {
     return new ConnectionSetup()
@@ -25,36 +29,40 @@
   /** Records that the state of the connection is unknown. The next commands begin with RESET. */
   clear (): void {
     this.#isKnown = false
-    this.#values = new Map()
-    this.#prepared = new Map()
+    this.#values.clear()
+    this.#prepared.clear()
   }
 
-  /** Returns the commands to send and records them as executed. The connection must be closed when one of them fails. */
+  /** Returns the commands to send. Their responses go to `recordResponse`. */
   listCommands (values: ReadonlyArray<[string, string]>, statement: PreparedStatement | undefined): UpstreamCommand[] {
-    const commands: UpstreamCommand[] = []
     const requested = new Map(values)
-    if (!this.#isKnown || [...this.#values.keys()].some((name) => !requested.has(name))) {
-      commands.push({ type: 'reset' })
-      this.#isKnown = true
-      this.#values = new Map()
-      this.#prepared = new Map()
-    }
-    for (const [name, value] of values) {
-      if (this.#values.get(name) === value) continue
-      commands.push({ type: 'set', name, value })
-      this.#values.set(name, value)
-    }
-    if (statement !== undefined) commands.push(...this.#prepare(statement))
+    const isReset = !this.#isKnown || [...this.#values.keys()].some((name) => !requested.has(name))
+    const commands: UpstreamCommand[] = isReset ? [{ type: 'reset' }] : []
+    for (const [name, value] of values) if (isReset || this.#values.get(name) !== value) commands.push({ type: 'set', name, value })
+    if (statement === undefined || (!isReset && this.hasPrepared(statement))) return commands
+    const { name, access, shape } = statement
+    if (!isReset && this.#prepared.has(name)) commands.push({ type: 'deallocate', name })
+    commands.push({ type: 'prepare', name, access, shape })
     return commands
   }
 
-  #prepare ({ name, access, shape }: PreparedStatement): UpstreamCommand[] {
-    const definition = formatDefinition(access, shape)
-    const current = this.#prepared.get(name)
-    if (current === definition) return []
-    this.#prepared.set(name, definition)
-    const prepare: UpstreamCommand = { type: 'prepare', name, access, shape }
-    return current === undefined ? [prepare] : [{ type: 'deallocate', name }, prepare]
+  /** Records what the response to a command shows. A command that may have run although it failed leaves the state unknown. */
+  recordResponse (command: UpstreamCommand, response: StatementResponse): void {
+    if (response.type === 'done') this.#apply(command)
+    else if (response.type === 'lost' || !isNotRun(response.failure)) this.clear()
+    else if (command.type === 'deallocate' && response.failure === 'unknown-statement') this.#prepared.delete(command.name)
+  }
+
+  #apply (command: UpstreamCommand): void {
+    switch (command.type) {
+      case 'reset':
+        this.clear()
+        this.#isKnown = true
+        break
+      case 'set': this.#values.set(command.name, command.value); break
+      case 'prepare': this.#prepared.set(command.name, formatDefinition(command.access, command.shape)); break
+      case 'deallocate': this.#prepared.delete(command.name); break
+    }
   }
 }
 
--- a/packages/host/src/upstream/database-owner.ts
+++ b/packages/host/src/upstream/database-owner.ts
@@ -204,7 +204,7 @@
     const failure = await this.#sender.setUp(pooled, params, this.#computeTimeout(deadline))
     if (failure !== undefined) {
       this.#control.recordHealth(failure)
-      this.#pool.discard(pooled)
+      this.#pool.release(pooled)
       return this.#buildResult(failure, false)
     }
     const sentAt = this.#clock.readTime()
@@ -271,13 +271,10 @@
     const answer = sent.answers.at(-1) as StatementResponse
     this.#control.recordHealth(answer)
     if (isOnPrimary) this.#control.recordLeadership(answer, sentAt)
-    const failure = this.#sender.findSetupFailure(setup, sent.answers.slice(0, -1), params)
-    if (failure !== undefined) {
-      this.#pool.discard(pooled)
-      return this.#buildResult(failure, false)
-    }
-    if (answer.type === 'done' && pooled.connection.transactionState === 'transaction') return undefined
+    const failure = this.#sender.recordSetup(pooled, setup, sent.answers.slice(0, -1), params)
+    if (failure === undefined && answer.type === 'done' && pooled.connection.transactionState === 'transaction') return undefined
     this.#pool.release(pooled)
+    if (failure !== undefined) return this.#buildResult(failure, false)
     return answer.type === 'done' ? this.#refuse('busy', 'the database did not open the transaction') : this.#buildResult(answer, false)
   }
 
@@ -373,9 +370,9 @@
     return this.#refuse(isJoining(operation) ? 'aborted' : 'busy', `refused because ${this.#events.findClosure(this.#record) ?? 'its data centre was evacuated'}`)
   }
 
-  /** Closes the connection, because its setup records session values as sent that were not sent. */
+  /** Refuses a statement that was not sent, and releases its connection. */
   #refuseUnsent (pooled: PooledConnection, reason: string): UpstreamExecuteResult {
-    this.#pool.discard(pooled)
+    this.#pool.release(pooled)
     const closure = this.#events.findClosure(this.#record)
     if (closure !== undefined) {
       this.#events.handleEvacuationRefusal(this.#record)
--- a/packages/host/src/upstream/statement-sender.ts
+++ b/packages/host/src/upstream/statement-sender.ts
@@ -50,12 +50,13 @@
     if (this.#options.isClosed()) return undefined
     const commands = pooled.setup.listCommands(params.values, params.needed)
     if (commands.length === 0) return undefined
-    return this.findSetupFailure(commands, await Promise.all(pooled.connection.send(commands, timeoutMs)), params)
+    return this.recordSetup(pooled, commands, await Promise.all(pooled.connection.send(commands, timeoutMs)), params)
   }
 
-  /** Returns the first failure of the set-up as the response to the statement, which has not run; undefined when there was none. */
-  findSetupFailure (commands: UpstreamCommand[], answers: StatementResponse[], { session, operation }: UpstreamExecuteParams): FailedResponse | undefined {
+  /** Records the responses to the set-up. Returns the first failure as the response to the statement, which has not run; undefined when there was none. */
+  recordSetup (pooled: PooledConnection, commands: UpstreamCommand[], answers: StatementResponse[], { session, operation }: UpstreamExecuteParams): FailedResponse | undefined {
     const { databaseId, logger } = this.#options
+    for (const [position, command] of commands.entries()) pooled.setup.recordResponse(command, answers[position] as StatementResponse)
     const index = answers.findIndex(({ type }) => type !== 'done')
     if (index === -1) return undefined
     const answer = answers[index] as FailedResponse
--- a/packages/host/test/session-setup.test.ts
+++ b/packages/host/test/session-setup.test.ts
@@ -52,6 +52,28 @@
   }
 }
 
+// Guards against a connection that counts as holding values and names that were refused on it, above all in a transaction at a database that lost the lead.
+for (const [title, work] of Object.entries(works)) {
+  for (const failing of listSetupTypes(work)) {
+    for (const failure of ['busy', 'not-primary', 'failed'] as const) {
+      test(`after ${failing} of a ${title} was answered with ${failure}, the connection is set up again for the next session`, async () => {
+        const { owner, runs, database } = openFakeOwner()
+        const opening: Work = work.transaction === 'joins' ? { ...work, transaction: 'opens' } : work
+        await execute(owner, 'r1', opening, work.transaction === 'joins' ? { ...first, values: [['mode', 'strict']] } : first)
+        if (work.transaction === 'opens') await owner.execute(buildExecuteParams({ type: 'rollback' }))
+        await delay(RELEASE_MS)
+        database.findFailure = ({ type }) => type === failing ? failure : undefined
+        await execute(owner, 'r2', work, second)
+        await delay(RELEASE_MS)
+        database.findFailure = () => undefined
+        assert.equal((await execute(owner, 'r3', opening, second)).type, 'done')
+        assert.deepEqual(runs.slice(1).map(({ id, values, shape }) => [id, values, shape]), [['r3', { mode: 'fast' }, 'q2']])
+        owner.close()
+      })
+    }
+  }
+}
+
 // Guards against a round trip before each statement although a connection that needs none is idle.
 test('a statement gets the connection that holds its values and its prepared statement, and is sent without a round trip', async () => {
   const { owner, sessions } = openFakeOwner()
