Check a connection's reported state before each statement

A statement of a transaction would run outside of it if the database ended the transaction by itself while the session's values were set: the state was checked before the set-up only.

StatementSender checks the state in one place, right before it sends: in a transaction for commands that join one, else idle.

--- a/packages/host/src/upstream/connection-pool.ts
+++ b/packages/host/src/upstream/connection-pool.ts
@@ -116,7 +116,7 @@
   release (pooled: PooledConnection): void {
     pooled.usedAt = this.#clock.readTime()
     if (this.#isClosed || this.#connections.size > this.#limit) this.#closeConnection(pooled)
-    else this.#admit(pooled)
+    else this.#updateIdle(pooled)
     this.#serveWaiters()
   }
 
@@ -191,7 +191,7 @@
       this.#connections.add(pooled)
       opening.connection.onClose(() => { this.#removeClosed(pooled) })
       if (this.#isClosed) this.#closeConnection(pooled)
-      else this.#admit(pooled)
+      else this.#updateIdle(pooled)
     } else if (opening.type === 'refused' && opening.failure === 'connection-limit' && !this.#isClosed) {
       this.#logger.warn('connection refused', { database: id, organisation, held: this.#connections.size, ...opening })
       this.#cap.recordRefusal(this.#connections.size, this.#clock.readTime())
@@ -226,7 +226,7 @@
     }, stepMs)
   }
 
-  #admit (pooled: PooledConnection): void {
+  #updateIdle (pooled: PooledConnection): void {
     const { connection: { isOpen, transactionState }, organisation } = pooled
     pooled.isIdle = isOpen && transactionState === 'idle'
     if (pooled.isIdle) return
--- a/packages/host/src/upstream/database-owner.ts
+++ b/packages/host/src/upstream/database-owner.ts
@@ -196,12 +196,12 @@
     record(answer, sentAt)
     this.#control.recordHealth(answer)
     void rollback.then(() => { this.#pool.release(pooled) })
-    return this.#buildResult(this.#sender.checkPrepared(pooled, answer, params), true)
+    return this.#buildResult(this.#sender.handleMissingStatement(pooled, answer, params), true)
   }
 
   async #finishSingle (pooled: PooledConnection, params: UpstreamExecuteParams, run: UpstreamCommand, deadline: number, record: RecordResponse): Promise<UpstreamExecuteResult> {
     const isOnPrimary = params.replicaRead === undefined
-    const failure = await this.#sender.setUp(pooled, params, this.#computeTimeout(deadline))
+    const failure = await this.#sender.applySetup(pooled, params, this.#computeTimeout(deadline))
     if (failure !== undefined) {
       this.#control.recordHealth(failure)
       this.#pool.release(pooled)
@@ -212,7 +212,7 @@
     if (sent === undefined) return this.#refuseUnsent(pooled, 'changing')
     const [response] = sent.answers as [StatementResponse]
     record(response, sentAt)
-    const answer = this.#sender.checkPrepared(pooled, response, params)
+    const answer = this.#sender.handleMissingStatement(pooled, response, params)
     this.#control.recordHealth(answer)
     if (isOnPrimary) this.#control.recordLeadership(answer, sentAt)
     this.#pool.release(pooled)
@@ -314,18 +314,18 @@
     try {
       // The first statement is checked again, since nothing of the caller's has been sent before it; an open transaction stays where it is.
       if (isOpening(params.operation) && !this.#isPermitted(this.#record, params)) return this.#refuseUnpermitted()
-      if (pooled.connection.transactionState !== 'transaction' || !pooled.connection.isOpen) return this.#isClosed ? this.#refuseClosed(params) : this.#refuse('aborted', 'the transaction has ended at its database')
-      const failure = command.type === 'run' ? await this.#sender.setUp(pooled, params, this.#computeTimeout(deadline)) : undefined
+      if (!pooled.connection.isOpen) return this.#isClosed ? this.#refuseClosed(params) : this.#refuse('aborted', 'the connection of the transaction ended')
+      const failure = command.type === 'run' ? await this.#sender.applySetup(pooled, params, this.#computeTimeout(deadline)) : undefined
       if (failure !== undefined) {
         this.#control.recordHealth(failure)
         return this.#buildResult(failure, false)
       }
       const sentAt = this.#clock.readTime()
       const sent = await this.#sender.send(pooled, [command], this.#computeTimeout(deadline), { needsPrimary: transaction.isOnPrimary, isJoining: true })
-      if (sent === undefined) return this.#isClosed ? this.#refuseClosed(params) : this.#refuse('aborted', 'another primary takes over')
+      if (sent === undefined) return this.#isClosed ? this.#refuseClosed(params) : this.#refuse('aborted', 'another primary takes over or the transaction ended at its database')
       const [response] = sent.answers as [StatementResponse]
       this.#capacity.recordResponse(slot.id, params, response, sentAt)
-      const answer = this.#sender.checkPrepared(pooled, response, params)
+      const answer = this.#sender.handleMissingStatement(pooled, response, params)
       this.#control.recordHealth(answer)
       const isCommitOfWrites = params.operation.type === 'commit' && transaction.isOnPrimary && transaction.hasWritten
       return this.#buildResult(isCommitOfWrites ? await this.#primary.decideCommit(answer, sent.revision, deadline - this.#clock.readTime()) : answer, true)
--- a/packages/host/src/upstream/statement-sender.ts
+++ b/packages/host/src/upstream/statement-sender.ts
@@ -19,7 +19,7 @@
 
 type FailedResponse = Exclude<StatementResponse, { type: 'done' }>
 
-/** Sends the commands of one owner on its connections. */
+/** Sends the commands of one owner on its connections, and records from the responses what each connection holds. */
 export class StatementSender {
   readonly #options: CreateOptions
 
@@ -31,10 +31,13 @@
     return new StatementSender(options)
   }
 
-  /** Sends the commands in one batch. Returns undefined, and sends nothing, when the primary lease has ended or the database is closed. */
+  /**
+   * Sends the commands in one batch. Returns undefined, and sends nothing, when the primary lease has ended, the database is closed, or
+   * the database does not report the connection in the state that the commands need: in a transaction if they join one, else idle.
+   */
   async send (pooled: PooledConnection, commands: UpstreamCommand[], timeoutMs: number, { needsPrimary, isJoining }: SendOptions): Promise<SentCommands | undefined> {
     const { primary, isClosed } = this.#options
-    if (isClosed()) return undefined
+    if (isClosed() || pooled.connection.transactionState !== (isJoining ? 'transaction' : 'idle')) return undefined
     if (!needsPrimary) return { answers: await Promise.all(pooled.connection.send(commands, timeoutMs)), revision: 0 }
     const check = primary.check(isJoining)
     if (check.type === 'refused') return undefined
@@ -45,8 +48,8 @@
    * Gives a connection the values and the prepared statement of a session, and waits until the database has confirmed them: a statement
    * that is sent behind a command that fails runs all the same. Returns undefined when the connection is ready, otherwise why it is not.
    */
-  async setUp (pooled: PooledConnection, params: UpstreamExecuteParams, timeoutMs: number): Promise<FailedResponse | undefined> {
-    // The statement itself is refused then.
+  async applySetup (pooled: PooledConnection, params: UpstreamExecuteParams, timeoutMs: number): Promise<FailedResponse | undefined> {
+    // `send` refuses the statement that would follow.
     if (this.#options.isClosed()) return undefined
     const commands = pooled.setup.listCommands(params.values, params.needed)
     if (commands.length === 0) return undefined
@@ -69,10 +72,10 @@
   }
 
   /**
-   * Turns NOSTMT for a prepared statement of the session into a failure that is retried: the connection lost the statement, which
-   * the caller's session still has.
+   * Turns NOSTMT into a failure that is retried, because the prepared statement exists in the caller's session and only the connection
+   * has lost it. Other responses are returned unchanged.
    */
-  checkPrepared (pooled: PooledConnection, answer: StatementResponse, { session, operation }: UpstreamExecuteParams): StatementResponse {
+  handleMissingStatement (pooled: PooledConnection, answer: StatementResponse, { session, operation }: UpstreamExecuteParams): StatementResponse {
     if (answer.type !== 'failed' || answer.failure !== 'unknown-statement') return answer
     const { databaseId, logger } = this.#options
     pooled.setup.clear()
--- a/packages/host/test/connection-state.test.ts
+++ b/packages/host/test/connection-state.test.ts
@@ -65,8 +65,22 @@
 test('a transaction that its database does not report as open gets no statement', async () => {
   const { owner, runs, sessions } = openFakeOwner()
   assert.equal(await read(owner, 'r1', 'opens'), 'done')
-  await Promise.all(sessions[0]?.send([{ type: 'rollback' }]) ?? [])
+  sessions[0]?.endTransaction()
   assert.equal(await read(owner, 'r2', 'joins'), 'failed')
   assert.deepEqual(runs.map(({ id, state }) => [id, state]), [['r1', 'transaction']])
   owner.close()
 })
+
+test('a transaction that its database ended before the session values were set gets no statement', async () => {
+  const { owner, runs, sessions, database } = openFakeOwner()
+  assert.equal(await read(owner, 'r1', 'opens'), 'done')
+  database.findFailure = ({ type }) => {
+    if (type === 'set') sessions[0]?.endTransaction()
+    return undefined
+  }
+  const operation = { type: 'run', id: 'r2', text: 'READ x', access: 'read', transaction: 'joins', isReadOnly: false } as const
+  const { answer } = await owner.execute(buildExecuteParams(operation, { values: [['mode', 'strict']] }))
+  assert.equal(answer.type === 'failed' && answer.failure, 'aborted')
+  assert.deepEqual(runs.map(({ id }) => id), ['r1'])
+  owner.close()
+})
