--- a/packages/host/src/upstream/statement-sender.ts
+++ b/packages/host/src/upstream/statement-sender.ts
@@ -72,8 +72,8 @@
   }
 
   /**
-   * Turns NOSTMT into a failure that is retried, because the prepared statement exists in the caller's session and only the connection
-   * has lost it. Other responses are returned unchanged.
+   * Turns the failure `unknown-statement` into one that is retried, because the prepared statement exists in the caller's session and
+   * only the connection has lost it. Other responses are returned unchanged.
    */
   handleMissingStatement (pooled: PooledConnection, answer: StatementResponse, { session, operation }: UpstreamExecuteParams): StatementResponse {
     if (answer.type !== 'failed' || answer.failure !== 'unknown-statement') return answer
--- a/packages/host/test/connection-state-schedules.test.ts
+++ b/packages/host/test/connection-state-schedules.test.ts
@@ -101,7 +101,7 @@
     this.#expectations.set(id, { state, values: Object.fromEntries(values), shape })
     const needed = prepared === undefined || shape === undefined ? undefined : { name: prepared, access, shape }
     const { answer } = await this.#owner.execute(buildExecuteParams({ type: 'run', id, text, access, transaction, isReadOnly: false }, { session, values, needed, ...options }))
-    assert.ok(answer.type !== 'failed' || answer.failure !== 'unknown-statement', `${id} got NOSTMT`)
+    assert.ok(answer.type !== 'failed' || answer.failure !== 'unknown-statement', `${id} got unknown-statement`)
     return answer
   }
 }
--- a/packages/host/test/session-setup.test.ts
+++ b/packages/host/test/session-setup.test.ts
@@ -86,7 +86,7 @@
   owner.close()
 })
 
-// Guards against NOSTMT for a statement whose PREPARE was acknowledged to the caller.
+// Guards against `unknown-statement` for a statement whose PREPARE was acknowledged to the caller.
 test('a connection that lost a prepared statement refuses the statement as not run and prepares it again', async () => {
   const { owner, runs, sessions } = openFakeOwner()
   const write = works['single write'] as Work
