--- a/packages/host/test/leader-confirmation.test.ts
+++ b/packages/host/test/leader-confirmation.test.ts
@@ -1,13 +1,12 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { DatabaseEnforcedLeases } from '@tanagerusher/coordination/failover/database-enforced-leases'
 import type { UpstreamExecuteParams } from '@tanagerusher/protocol/peer/upstream-execute'
-import { createLogger } from '@tanagerusher/runtime/log/create-logger'
 import type { Position } from '@tanagerusher/state/position/position'
 import type { StatementResponse } from '@tanagerusher/state/upstream/statement-response'
 import type { UpstreamCommand } from '@tanagerusher/state/upstream/upstream-command'
-import { DatabaseOwner } from '../src/upstream/database-owner.js'
+import type { DatabaseOwner } from '../src/upstream/database-owner.js'
 import { createFakeConnection } from './fixtures/create-fake-connection.js'
+import { openTestOwner } from './fixtures/open-test-owner.js'
 
 const OPEN_POSITION = { term: 1, position: 5 }
 const COMMIT_POSITION = { term: 1, position: 6 }
@@ -15,27 +14,10 @@
 function openOwner (): { owner: DatabaseOwner, confirmed: Position[] } {
   const confirmed: Position[] = []
   const answer = async (command: UpstreamCommand): Promise<StatementResponse> => ({ type: 'done', proof: 'p', rows: [], position: command.type === 'commit' ? COMMIT_POSITION : OPEN_POSITION })
-  const owner = DatabaseOwner.create({
-    record: { id: 'd', group: 'g', address: '127.0.0.1:1', dataCentre: 'a', slots: 1, isLeaving: false, claimsPrimary: true, startedAt: 0, warmupLeftMs: 0, revision: 1 },
-    connector: { open: async () => ({ type: 'opened', connection: createFakeConnection(answer), position: OPEN_POSITION }) },
-    clock: { readTime: () => performance.now() },
-    logger: createLogger({ label: 'host', level: 'error', stream: 'stdout' }),
-    events: {
-      handleLeaderConfirmation: (_record, position) => { confirmed.push(position) },
-      handleLeaderRefusal: () => {},
-      waitForReadPosition: async () => {},
-      findReadPosition: () => undefined,
-      findClosure: () => undefined,
-      handleEvacuationRefusal: () => {},
-      findWarmupRate: () => undefined,
-      handleRecovery: () => {}
-    },
-    leases: DatabaseEnforcedLeases.create(),
-    checkClocks: () => {},
-    isPermitted: () => true,
-    pauses: undefined
+  const owner = openTestOwner({
+    open: async () => ({ type: 'opened', connection: createFakeConnection(answer), position: OPEN_POSITION }),
+    events: { handleLeaderConfirmation: (_record, position) => { confirmed.push(position) }, findReadPosition: () => undefined }
   })
-  owner.updateLimit(6)
   return { owner, confirmed }
 }
 
--- a/packages/host/test/owner-deadline.test.ts
+++ b/packages/host/test/owner-deadline.test.ts
@@ -1,13 +1,12 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { DatabaseEnforcedLeases } from '@tanagerusher/coordination/failover/database-enforced-leases'
 import type { UpstreamExecuteParams } from '@tanagerusher/protocol/peer/upstream-execute'
-import { createLogger } from '@tanagerusher/runtime/log/create-logger'
 import type { StatementResponse } from '@tanagerusher/state/upstream/statement-response'
 import type { UpstreamCommand } from '@tanagerusher/state/upstream/upstream-command'
 import { delay } from '../src/program/delay.js'
-import { DatabaseOwner } from '../src/upstream/database-owner.js'
+import type { DatabaseOwner } from '../src/upstream/database-owner.js'
 import { createFakeConnection } from './fixtures/create-fake-connection.js'
+import { openTestOwner } from './fixtures/open-test-owner.js'
 
 const TIME_LEFT_MS = 400
 const CONNECT_MS = 150
@@ -23,23 +22,12 @@
     if (command.type === 'begin') await delay(BEGIN_MS)
     return command.type === 'run' && command.id === 'endless' ? await new Promise(() => {}) : done
   }
-  const owner = DatabaseOwner.create({
-    record: { id: 'd', group: 'g', address: '127.0.0.1:1', dataCentre: 'a', slots: 1, isLeaving: false, claimsPrimary: true, startedAt: 0, warmupLeftMs: 0, revision: 1 },
-    connector: {
-      open: async () => {
-        await delay(CONNECT_MS)
-        return { type: 'opened', connection: createFakeConnection(answer, (commands, timeoutMs) => { sent.push(...commands.map(({ type }) => ({ type, timeoutMs }))) }), position }
-      }
-    },
-    clock: { readTime: () => performance.now() },
-    logger: createLogger({ label: 'host', level: 'error', stream: 'stdout' }),
-    events: { handleLeaderConfirmation: () => {}, handleLeaderRefusal: () => {}, waitForReadPosition: async () => {}, findReadPosition: () => position, findClosure: () => undefined, handleEvacuationRefusal: () => {}, findWarmupRate: () => undefined, handleRecovery: () => {} },
-    leases: DatabaseEnforcedLeases.create(),
-    checkClocks: () => {},
-    isPermitted: () => true,
-    pauses: undefined
+  const owner = openTestOwner({
+    open: async () => {
+      await delay(CONNECT_MS)
+      return { type: 'opened', connection: createFakeConnection(answer, (commands, timeoutMs) => { sent.push(...commands.map(({ type }) => ({ type, timeoutMs }))) }), position }
+    }
   })
-  owner.updateLimit(6)
   return { owner, sent }
 }
 
--- a/packages/host/test/queued-operation.test.ts
+++ b/packages/host/test/queued-operation.test.ts
@@ -1,14 +1,12 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { PauseDetector } from '@tanagerusher/coordination/clock/pause-detector'
-import { DatabaseEnforcedLeases } from '@tanagerusher/coordination/failover/database-enforced-leases'
 import type { UpstreamExecuteParams } from '@tanagerusher/protocol/peer/upstream-execute'
-import { createLogger } from '@tanagerusher/runtime/log/create-logger'
 import type { StatementResponse } from '@tanagerusher/state/upstream/statement-response'
 import type { UpstreamCommand } from '@tanagerusher/state/upstream/upstream-command'
-import { DatabaseOwner } from '../src/upstream/database-owner.js'
 import { delay } from '../src/program/delay.js'
 import { createFakeConnection } from './fixtures/create-fake-connection.js'
+import { openTestOwner } from './fixtures/open-test-owner.js'
 
 const done: StatementResponse = { type: 'done', proof: 'p', rows: [], position: undefined }
 const position = { term: 1, position: 1 }
@@ -36,18 +34,11 @@
     return command.id === 'slow' ? await new Promise((resolve) => respond.set(command.id, resolve)) : done
   }
   let isPermitted = true
-  const owner = DatabaseOwner.create({
-    record: { id: 'd', group: 'g', address: '127.0.0.1:1', dataCentre: 'a', slots: 1, isLeaving: false, claimsPrimary: false, startedAt: 0, warmupLeftMs: 0, revision: 1 },
-    connector: { open: async () => ({ type: 'opened', connection: createFakeConnection(answer), position }) },
-    clock: { readTime: () => performance.now() },
-    logger: createLogger({ label: 'host', level: 'error', stream: 'stdout' }),
-    events: { handleLeaderConfirmation: () => {}, handleLeaderRefusal: () => {}, waitForReadPosition: async () => {}, findReadPosition: () => position, findClosure: () => undefined, handleEvacuationRefusal: () => {}, findWarmupRate: () => undefined, handleRecovery: () => {} },
-    leases: DatabaseEnforcedLeases.create(),
-    checkClocks: () => {},
+  const owner = openTestOwner({
+    open: async () => ({ type: 'opened', connection: createFakeConnection(answer), position }),
     isPermitted: () => isPermitted,
     pauses: PauseDetector.create(performance.now())
   })
-  owner.updateLimit(6)
   assert.equal((await owner.execute(buildParams('first', 'opens', 'open'))).answer.type, 'done')
   const slow = owner.execute(buildParams('slow', 'none', 's1'))
   await delay(20)
