--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -4,7 +4,7 @@
 
 const RECORD = fileURLToPath(new URL('record.txt', import.meta.url))
 const WITH_TROUBLE = process.env.TROUBLE !== '0'
-const MAXIMUM_ROUNDS = 4
+const MAXIMUM_ROUNDS = 10
 const SERVICES = ['huvo11a', 'kafi81c', 'wuno96b']
 const REGIONS = { 'tartu-a': 'tartu', 'tartu-b': 'tartu', 'tallinn-a': 'tallinn' }
 const BOUNDS = { 'grace-s': 6, 'revoke-ms': 5000, 'quota-slack': 20, fencing: true }
@@ -16,7 +16,7 @@
   writeFileSync(RECORD, `trouble: ${WITH_TROUBLE}\n`)
   const deadline = Date.now() + TIME_LIMIT_MS
   let handOvers = 0
-  for (let round = 1; round <= MAXIMUM_ROUNDS && Date.now() < deadline - 25_000; round++) {
+  for (let round = 1; round <= MAXIMUM_ROUNDS && Date.now() < deadline - 15_000; round++) {
     const { lost, promotions } = await runRound(round)
     handOvers += promotions
     if (lost > 0) return exitCodes.broken
@@ -40,19 +40,19 @@
     const clients = SERVICES.map((service) => ({
       service,
       members: [separated.name, undefined].flatMap((name) => [1, 2, 3].map(() => fleet.addClient({
-        service, prefers: (host) => (host.name === separated.name) === (name !== undefined), intervalMs: 70, createText: () => `WRITE ${Math.floor(Math.random() * 2000).toString(16)} ${Math.random().toString(36).slice(2)}`
+        service, prefers: (host) => (host.name === separated.name) === (name !== undefined), intervalMs: 180, createText: () => `WRITE ${Math.floor(Math.random() * 2000).toString(16)} ${Math.random().toString(36).slice(2)}`
       })))
     }))
-    await delay(2500)
+    await delay(800)
     if (WITH_TROUBLE) fleet.links.cutOff(separated.name)
     note(`round ${round}: ${WITH_TROUBLE ? `${separated.name} is cut off from the other hosts` : 'no host is cut off'}`)
     await delay(1500)
     for (const group of fleet.groups) group.primary.startDraining()
     note(`round ${round}: the primaries are draining`)
-    await delay(5000)
+    await delay(3500)
     fleet.links.heal()
     for (const { members } of clients) for (const client of members) client.close()
-    await delay(1200)
+    await delay(300)
     let lost = 0
     for (const group of fleet.groups) lost += checkGroup(round, group, clients.find(({ service }) => service === group.name).members, fleet)
     return { lost, promotions: fleet.groups.reduce((sum, { promotions }) => sum + promotions.length, 0) }
