--- a/review/stand-ins-3/database.mjs
+++ b/review/stand-ins-3/database.mjs
@@ -179,6 +179,7 @@
       return `ERR READONLY ${this.id}`
     }
     await new Promise((resolve) => { setTimeout(resolve, WORK_MS) })
+    this.group.handleRun(this, id, words.join(' '), session.values)
     if (verb === 'READ') {
       const value = this.log.findLast((entry) => entry.item === item)?.data
       return `${value === undefined ? '' : `ROW ${value}\r\n`}DONE ${this.#createProof()}`
@@ -192,6 +193,7 @@
 
   async #commit (session, id) {
     const writes = session.writes
+    this.group.handleRun(this, id, 'COMMIT', session.values)
     await new Promise((resolve) => { setTimeout(resolve, WORK_MS) })
     if (writes.length > 0 && !this.isPrimary) {
       session.state = 'E'
--- a/review/stand-ins-3/group.mjs
+++ b/review/stand-ins-3/group.mjs
@@ -6,6 +6,8 @@
  */
 export class Group {
   databases = []
+  /** Called when a database runs a read, a write or a commit, with the values of the session at that moment. */
+  handleRun = () => {}
   /** Completed changes of primary, with the ids that the promoted database had at that moment. */
   promotions = []
   /** Acknowledged commits: id and time of the acknowledgement. */
