--- a/review/stand-ins-3/host.mjs
+++ b/review/stand-ins-3/host.mjs
@@ -19,13 +19,23 @@
   return /^run = "(.*)"$/m.exec(readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8'))[1].split(' ')
 }
 
+/** Below the ports that the kernel gives to outgoing connections. */
+const FIRST_PORT = 10_000
+const PORTS = 20_000
+
 /** Finds a port that is free on an address. */
-export async function findPort (address) {
-  const server = createServer()
-  await new Promise((resolve) => { server.listen(0, address, resolve) })
-  const { port } = server.address()
-  await new Promise((resolve) => { server.close(resolve) })
-  return port
+async function findPort (address) {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS)
+    const server = createServer()
+    const isFree = await new Promise((resolve) => {
+      server.once('error', () => { resolve(false) })
+      server.listen(port, address, () => { resolve(true) })
+    })
+    if (!isFree) continue
+    await new Promise((resolve) => { server.close(resolve) })
+    return port
+  }
 }
 
 /** One host program as a separate process, run with the command of the deploy file. */
